--- /dev/null
+++ b/src/bin/slipreel-adapter/settings.rs
@@ -0,0 +1,251 @@
+//! The settings of an instance: `path=value` lines turned into [`Settings`].
+
+use slipreel::{Class, Effect, Group, Limits, ReportSource, Role, Settings, Tenant, ZoneId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What one column of a load report holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Column {
+    /// Requests in hand.
+    InFlight,
+    /// Requests that wait.
+    Queued,
+    /// Share of slots in use.
+    SlotShare,
+    /// Share of memory held.
+    MemoryShare,
+    /// Thousands of prompt tokens that wait.
+    WaitingThousands,
+    /// Something that the module does not use.
+    Other,
+}
+
+/// An instance's settings and how its load reports are laid out.
+#[derive(Debug)]
+pub struct Profile {
+    /// What the module is handed.
+    pub settings: Settings,
+    /// The meaning of each report value, in order.
+    pub columns: Vec<Column>,
+}
+
+/// A value that is missing where none is safe, or that can't be read: the key's name and why.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadSetting(pub String);
+
+struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn get(&self, key: &str) -> Option<&'a str> {
+        self.0.get(key).copied().filter(|v| !v.is_empty())
+    }
+
+    fn number(&self, key: &str, default: Option<f64>) -> Result<f64, BadSetting> {
+        match self.get(key) {
+            Some(text) => match text.parse::<f64>() {
+                Ok(n) if n.is_finite() && n >= 0.0 => Ok(n),
+                _ => Err(BadSetting(format!("{key}: '{text}' is no number of 0 or more"))),
+            },
+            None => default.ok_or_else(|| BadSetting(format!("{key}: missing"))),
+        }
+    }
+
+    fn millis(&self, key: &str, default: Option<f64>) -> Result<Duration, BadSetting> {
+        let ms = self.number(key, default)?;
+        Duration::try_from_secs_f64(ms / 1e3).map_err(|_| BadSetting(format!("{key}: {ms} is too long")))
+    }
+
+    fn count(&self, key: &str, default: Option<f64>) -> Result<u32, BadSetting> {
+        let n = self.number(key, default)?;
+        if n.fract() != 0.0 || n > 65_536.0 {
+            return Err(BadSetting(format!("{key}: {n} is no count")));
+        }
+        Ok(n as u32)
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, BadSetting> {
+        self.word(key, &[("true", true), ("false", false)], Some(false))
+    }
+
+    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)], default: Option<T>) -> Result<T, BadSetting> {
+        let Some(text) = self.get(key) else {
+            return default.ok_or_else(|| BadSetting(format!("{key}: missing")));
+        };
+        let known = words.iter().find(|(word, _)| *word == text);
+        known.map(|&(_, v)| v).ok_or_else(|| BadSetting(format!("{key}: '{text}' is not known")))
+    }
+
+    fn list(&self, key: &str) -> Vec<&'a str> {
+        self.get(key).map(|v| v.split(',').collect()).unwrap_or_default()
+    }
+
+    fn numbers(&self, key: &str) -> Result<Vec<f64>, BadSetting> {
+        let read = |text: &str| text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        self.list(key)
+            .into_iter()
+            .map(|text| read(text).ok_or_else(|| BadSetting(format!("{key}: '{text}' is no number"))))
+            .collect()
+    }
+}
+
+/// Reads the settings. Keys that are not known are skipped. A missing key gets a neutral value (no
+/// permission, no limit, no share) except where none is safe: the classes and the engines' roles.
+pub fn parse(text: &str) -> Result<Profile, BadSetting> {
+    let pairs = Pairs(text.lines().filter_map(|line| line.trim_end().split_once('=')).collect());
+    let stretch = pairs.numbers("extra.aim_us_per_1000_prompt_tokens")?;
+    let classes = (0..pairs.count("classes.count", None)?)
+        .map(|i| class(&pairs, i as usize, &stretch))
+        .collect::<Result<Vec<_>, _>>()?;
+    let tenants = (0..pairs.count("customers.count", Some(0.0))?)
+        .map(|i| {
+            let key = format!("customers.{i}.quota_per_s");
+            let quota_per_s = pairs.get(&key).map(|_| pairs.number(&key, None)).transpose()?;
+            Ok(Tenant { quota_per_s })
+        })
+        .collect::<Result<Vec<_>, _>>()?;
+    let kinds = pairs
+        .list("extra.role_by_kind")
+        .into_iter()
+        .map(|role| match role {
+            "read" => Ok(Role::Read),
+            "write" => Ok(Role::Write),
+            "both" => Ok(Role::Both),
+            other => Err(BadSetting(format!("extra.role_by_kind: '{other}' is not known"))),
+        })
+        .collect::<Result<Vec<_>, _>>()?;
+    if kinds.is_empty() {
+        return Err(BadSetting("extra.role_by_kind: missing".into()));
+    }
+    let sources = [
+        ("piggyback", ReportSource::Answers),
+        ("pull", ReportSource::Probes),
+        ("silent", ReportSource::None),
+    ];
+    let hears = pairs.flag("limits.retry_after")?;
+    let limits = Limits {
+        attempts: pairs.count("limits.send_cap", Some(2.0))? as usize,
+        cancel: pairs.flag("limits.cancelling")?,
+        probes: pairs.flag("limits.may_probe")?,
+        second_copies: pairs.flag("limits.second_copies")?,
+        retry_after: hears.then(|| pairs.millis("limits.max_retry_after", Some(0.0))).transpose()?,
+        connect_timeout: pairs.millis("limits.connect_timeout", Some(250.0))?,
+    };
+    let settings = Settings {
+        routers: pairs.count("balancers", Some(1.0))?.max(1),
+        zone: ZoneId(pairs.count("zone", Some(0.0))?),
+        tick: pairs.millis("tick", Some(1.0))?,
+        classes,
+        tenants,
+        over_share_worth: pairs.number("over_share_worth", Some(1.0))?,
+        kinds,
+        writers_read: pairs.flag("extra.local_read")?,
+        ask_for_engines: pairs.word(
+            "discovery",
+            &[("automatic", false), ("subscribe", true)],
+            Some(false),
+        )?,
+        reports: pairs.word("report.source", &sources, Some(ReportSource::None))?,
+        limits,
+        cold_share: pairs.number("rules.cold_share", Some(0.0))?.min(1.0),
+        cold_time: pairs.millis("rules.cold", Some(0.0))?,
+        let_go_within: pairs.millis("extra.let_go_by", Some(0.0))?,
+    };
+    let columns = pairs.list("report.columns").into_iter().map(|name| column(&pairs, name)).collect();
+    Ok(Profile { settings, columns })
+}
+
+fn class(pairs: &Pairs, i: usize, stretch: &[f64]) -> Result<Class, BadSetting> {
+    let key = |field: &str| format!("classes.{i}.{field}");
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let effect = match pairs.word(
+        &key("idempotency"),
+        &[("safe", 0), ("keyed", 1), ("unsafe", 2)],
+        Some(2), // what is not known to be repeatable is not
+    )? {
+        0 => Effect::Safe,
+        1 => Effect::Keyed {
+            group: pairs.word(&key("group"), &groups, Some(Group::Cell))?,
+            window: pairs.millis(&key("window"), Some(0.0))?,
+        },
+        _ => Effect::Unsafe,
+    };
+    Ok(Class {
+        aim: pairs.millis(&key("target"), None)?,
+        aim_per_1000: Duration::try_from_secs_f64(stretch.get(i).copied().unwrap_or(0.0) / 1e6)
+            .map_err(|_| BadSetting("extra.aim_us_per_1000_prompt_tokens: too long".into()))?,
+        worth: pairs.number(&key("worth"), None)?,
+        effect,
+        streams: pairs.flag(&key("streaming"))?,
+    })
+}
+
+fn column(pairs: &Pairs, name: &str) -> Column {
+    let meaning = match name {
+        "x0" => pairs.get("extra.report_x0").unwrap_or(""),
+        "x1" => pairs.get("extra.report_x1").unwrap_or(""),
+        other => other,
+    };
+    match meaning {
+        "busy_reqs" => Column::InFlight,
+        "pending" => Column::Queued,
+        "cpu_share" => Column::SlotShare,
+        "share_of_memory_that_is_held" => Column::MemoryShare,
+        "thousands_of_prompt_tokens_waiting_to_be_read_or_fetched" => Column::WaitingThousands,
+        _ => Column::Other,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LEAST: &str =
+        "classes.count=1\nclasses.0.target=800\nclasses.0.worth=2\nextra.role_by_kind=read,write\n";
+
+    #[test]
+    fn missing_keys_get_neutral_values() {
+        let profile = parse(LEAST).unwrap();
+        let s = &profile.settings;
+        assert_eq!(s.kinds, [Role::Read, Role::Write]);
+        assert_eq!(s.classes[0].effect, Effect::Unsafe);
+        assert!(!s.limits.cancel && !s.limits.probes && s.limits.retry_after.is_none());
+        assert_eq!(s.reports, ReportSource::None);
+    }
+
+    #[test]
+    fn unknown_keys_are_skipped_and_report_columns_mapped() {
+        let more = "new.key=7\nreport.columns=x1,pending,x0,shoe_size\n\
+                    extra.report_x0=share_of_memory_that_is_held\n\
+                    extra.report_x1=thousands_of_prompt_tokens_waiting_to_be_read_or_fetched\n";
+        let columns = parse(&format!("{LEAST}{more}")).unwrap().columns;
+        assert_eq!(columns, [Column::WaitingThousands, Column::Queued, Column::MemoryShare, Column::Other]);
+    }
+
+    #[test]
+    fn a_bad_or_missing_value_names_its_key() {
+        for (text, key) in [
+            ("", "classes.count"),
+            ("classes.count=1\nclasses.0.worth=1\nextra.role_by_kind=read", "classes.0.target"),
+            ("classes.count=x", "classes.count"),
+            ("classes.count=1e99", "classes.count"),
+            ("classes.count=0", "extra.role_by_kind"),
+        ] {
+            assert!(parse(text).unwrap_err().0.starts_with(key), "{text}");
+        }
+        for bad in ["tick=NaN", "tick=-1", "limits.cancelling=maybe", "extra.role_by_kind=read,sing"] {
+            let err = parse(&format!("{LEAST}{bad}\n")).unwrap_err().0;
+            assert!(err.starts_with(bad.split('=').next().unwrap()), "{err}");
+        }
+    }
+
+    #[test]
+    fn every_effect_is_read() {
+        let with = |tail: &str| parse(&format!("{LEAST}{tail}")).unwrap().settings.classes[0].effect;
+        assert_eq!(with("classes.0.idempotency=safe\n"), Effect::Safe);
+        assert_eq!(
+            with("classes.0.idempotency=keyed\nclasses.0.group=zone\nclasses.0.window=2500\n"),
+            Effect::Keyed { group: Group::Zone, window: Duration::from_millis(2500) }
+        );
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,394 @@
+//! The module's types: what a [`Router`](crate::Router) is told and what it asks for.
+//!
+//! Times are [`Duration`]s on one clock of the host's choosing that never goes back. Lengths are
+//! in tokens. Nothing here decides anything.
+
+use std::time::Duration;
+
+/// An engine, the same at every router and across restarts of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EngineId(pub u64);
+/// A request; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+/// A timer that the router has set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerId(pub u64);
+/// Position in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClassId(pub usize);
+/// Position in [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TenantId(pub usize);
+/// Position in [`Settings::kinds`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KindId(pub usize);
+/// A zone: a place that fails and is cut off as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u32);
+/// A cell: a small set of engines with fast links among them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CellId(pub u32);
+
+/// What a request does when it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run any number of times.
+    Safe,
+    /// Repeats are dropped by the engines of `group` for `window` after the first that may have run.
+    Keyed {
+        /// The engines that know each other's repeats.
+        group: Group,
+        /// How long they remember.
+        window: Duration,
+    },
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// The engines that drop each other's repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// One class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// First-token aim of an empty prompt.
+    pub aim: Duration,
+    /// What the aim grows by for each 1,000 prompt tokens.
+    pub aim_per_1000: Duration,
+    /// What one request is worth.
+    pub worth: f64,
+    /// What a request does when it runs.
+    pub effect: Effect,
+    /// Whether answers stream, so that a first token is told.
+    pub streams: bool,
+}
+
+/// One customer and its share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Requests a second, over all routers, that lie within its share; `None` if unlimited.
+    pub quota_per_s: Option<f64>,
+}
+
+/// What an engine can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Reads prompts.
+    Read,
+    /// Writes answers.
+    Write,
+    /// Does both.
+    Both,
+}
+
+/// Where load reports come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportSource {
+    /// Inside outcomes and probe results.
+    Answers,
+    /// Inside probe results alone.
+    Probes,
+    /// Nowhere.
+    None,
+}
+
+/// What a site allows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// The most attempts one request may have.
+    pub attempts: usize,
+    /// Whether attempts may be cancelled.
+    pub cancel: bool,
+    /// Whether engines may be probed.
+    pub probes: bool,
+    /// Whether two attempts of one request may be out at once.
+    pub second_copies: bool,
+    /// The longest retry time that clients heed; `None` if they hear none.
+    pub retry_after: Option<Duration>,
+    /// After this an attempt without a connection ends as [`Outcome::ConnectFailed`].
+    pub connect_timeout: Duration,
+}
+
+/// What a router is handed at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many routers share the fleet, this one counted.
+    pub routers: u32,
+    /// The zone of this router.
+    pub zone: ZoneId,
+    /// Least time between two batches of events.
+    pub tick: Duration,
+    /// The request classes.
+    pub classes: Vec<Class>,
+    /// The tenants; empty if there are none.
+    pub tenants: Vec<Tenant>,
+    /// What a request over its tenant's share is worth, as a share of its class's worth.
+    pub over_share_worth: f64,
+    /// The role of each kind of engine.
+    pub kinds: Vec<Role>,
+    /// Whether a writer reads a prompt itself when there is no state to fetch.
+    pub writers_read: bool,
+    /// Whether the list of engines has to be asked for.
+    pub ask_for_engines: bool,
+    /// Where load reports come from.
+    pub reports: ReportSource,
+    /// What the site allows.
+    pub limits: Limits,
+    /// A started engine has at least this share of its capacity.
+    pub cold_share: f64,
+    /// And is warm within this time.
+    pub cold_time: Duration,
+    /// Held state must be taken or let go within this time.
+    pub let_go_within: Duration,
+}
+
+/// Whether an engine takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// One entry of the list of engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Which engine.
+    pub id: EngineId,
+    /// Whether it takes new work.
+    pub state: EngineState,
+    /// Its kind.
+    pub kind: KindId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// When it last started; `None` if long ago.
+    pub started: Option<Duration>,
+}
+
+/// How a list of engines is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Changed entries only.
+    Changes,
+    /// All of them; who is absent has left.
+    Complete,
+    /// All of them as last held, perhaps out of date.
+    Cached,
+    /// The call failed; the list stays as it is.
+    Failed,
+}
+
+/// What an engine tells of its load; what it does not tell is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it holds.
+    pub in_flight: Option<f64>,
+    /// Requests that wait.
+    pub queued: Option<f64>,
+    /// Share of its slots in use.
+    pub slot_share: Option<f64>,
+    /// Share of its memory held.
+    pub memory_share: Option<f64>,
+    /// Prompt tokens that wait to be read or fetched.
+    pub waiting_tokens: Option<f64>,
+}
+
+/// A client's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Which request.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The session.
+    pub session: u64,
+    /// The beginning shared with other sessions, if there is one.
+    pub shared_prefix: Option<u64>,
+    /// Length of the prompt, tokens.
+    pub prompt_tokens: f64,
+    /// The most tokens the answer may have.
+    pub max_output_tokens: f64,
+    /// How long until the client gives up.
+    pub time_left: Duration,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served, or the probe was answered.
+    Ok,
+    /// The prompt is read and its state waits at the reader.
+    Read,
+    /// The engine failed; the attempt may have run.
+    Error,
+    /// Turned away; it never ran. `no_state`: there was no state to fetch.
+    Full {
+        /// There was no state to fetch.
+        no_state: bool,
+    },
+    /// No reply in time; it may have run or still run.
+    TimedOut,
+    /// No connection in time; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Cancelled; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether it proves that the attempt had no effect.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Outcome::Read | Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What a router is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News of the list of engines.
+    Engines {
+        /// How to take it.
+        listing: Listing,
+        /// The entries.
+        engines: Vec<Engine>,
+    },
+    /// A client's request has come in; it is owed one final answer.
+    Request(Request),
+    /// An answer has begun.
+    FirstToken {
+        /// Which request.
+        request: RequestId,
+        /// Which of its attempts, from 0.
+        attempt: usize,
+        /// Since its send.
+        latency: Duration,
+    },
+    /// An attempt has ended.
+    Ended {
+        /// Which request.
+        request: RequestId,
+        /// Which of its attempts, from 0.
+        attempt: usize,
+        /// How it ended.
+        outcome: Outcome,
+        /// Since its send.
+        latency: Duration,
+        /// The request is finished.
+        finished: bool,
+        /// The engine's load, where told.
+        report: LoadReport,
+    },
+    /// The answer to a request for a place at a writer.
+    Place {
+        /// Which request.
+        request: RequestId,
+        /// The engine asked.
+        engine: EngineId,
+        /// Whether the place is held.
+        held: bool,
+    },
+    /// The client has left; no answer is owed any more.
+    ClientGone(RequestId),
+    /// A timer has come due.
+    Timer(TimerId),
+    /// A probe has ended.
+    Probed {
+        /// The engine probed.
+        engine: EngineId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The engine's load, where told.
+        report: LoadReport,
+    },
+    /// A message from another router.
+    PeerMessage {
+        /// Its number.
+        from: u32,
+        /// What it sent.
+        body: Vec<u8>,
+    },
+}
+
+/// What a router asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to an engine as its next attempt.
+    Send {
+        /// Which request.
+        request: RequestId,
+        /// Where to.
+        engine: EngineId,
+        /// Time-out of this attempt; `None`: until the client gives up.
+        limit: Option<Duration>,
+    },
+    /// Stop waiting for one attempt.
+    Cancel {
+        /// Which request.
+        request: RequestId,
+        /// Which of its attempts.
+        attempt: usize,
+    },
+    /// Final answer: turned away, harmless to try again.
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// When the client may come again.
+        retry_after: Option<Duration>,
+    },
+    /// Final answer: failed, with no promise.
+    Fail(RequestId),
+    /// Let go of all state and places that are held for the request.
+    Release(RequestId),
+    /// Hold a place at a writer.
+    Reserve {
+        /// Which request.
+        request: RequestId,
+        /// At which engine.
+        engine: EngineId,
+    },
+    /// End a running stream in good order so that it goes on elsewhere.
+    MoveStream(RequestId),
+    /// Ask for a [`Event::Timer`].
+    SetTimer {
+        /// The timer's name.
+        timer: TimerId,
+        /// From now.
+        after: Duration,
+    },
+    /// Probe an engine.
+    Probe(EngineId),
+    /// Close the idle connections to an engine.
+    CloseIdle(EngineId),
+    /// Subscribe to changes of the list of engines, or end that.
+    WatchEngines(bool),
+    /// Ask once for the complete list of engines.
+    FetchEngines,
+    /// Send a message to one router, or to all.
+    TellPeer {
+        /// Its number; `None`: all.
+        to: Option<u16>,
+        /// What to send.
+        body: Vec<u8>,
+    },
+    /// A line for the staff.
+    Log(String),
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,913 @@
+//! Every decision of slipreel, in the order of a request's life. The types it is told of and
+//! answers in stand in `src/interface.rs`; nothing outside this file decides anything.
+//!
+//! The ordinary path is the llm-d probabilistic admitter: before any read, a droppable request is
+//! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
+//! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+// Admission.
+/// Factor of the refusal curve; no unit. From the llm-d post.
+const CURVE_FACTOR: f64 = 300.0;
+/// Power of the refusal curve; no unit. From the llm-d post.
+const CURVE_POWER: i32 = 5;
+/// Prompt tokens waiting at one engine that count as saturation 1. Starting value of the design.
+const WAITING_THRESHOLD: f64 = 60_000.0;
+/// Share of memory held that counts as saturation 1. Starting value of the design: full memory
+/// alone refuses one droppable request in six.
+const MEMORY_THRESHOLD: f64 = 4.5;
+/// Age at which a report says nothing any more. A few refresh periods of slow reporters.
+const REPORT_LIFE: Duration = Duration::from_millis(3_000);
+/// Weight of one new prompt in the mean prompt length; no unit. About the last hundred requests.
+const PROMPT_WEIGHT: f64 = 0.02;
+/// Prompt length assumed before the first request, tokens. Any plausible size does.
+const FIRST_PROMPT: f64 = 1_000.0;
+/// Attempts of the whole role that the estimate of an engine's waiting part starts from; no unit.
+const WAITING_PRIOR: f64 = 2.0;
+/// How long a tenant may save up its unused quota. Evens out chance arrivals.
+const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
+/// Retry time told with a refusal, before jitter. The time a queue of a saturated engine drains in.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
+// Attempts.
+/// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
+const MIN_PATIENCE: Duration = Duration::from_millis(600);
+/// Patience as a multiple of the latency usual for the role and prompt; no unit.
+const PATIENCE_FACTOR: f64 = 4.0;
+/// Latency of a token-weighted prompt before any was seen, seconds a token. A slow reader's.
+const FIRST_PACE: f64 = 0.000_3;
+/// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
+const FIXED_TOKENS: f64 = 500.0;
+/// Weight of one sample in an engine's pace; no unit. About the last ten.
+const PACE_WEIGHT: f64 = 0.15;
+/// How often work that found no usable engine looks again.
+const PARK_STEP: Duration = Duration::from_millis(25);
+/// Part of the let-go limit after which held state that finds no writer is let go; no unit.
+const HOLD_PART: f64 = 0.5;
+/// Ticks before the client's end at which the final answer goes out; no unit.
+const ANSWER_TICKS: u32 = 2;
+
+// Health.
+/// Ejection time of a first offence.
+const EJECT_BASE: Duration = Duration::from_millis(1_000);
+/// Doublings of the ejection time at most; no unit. Bounds it at eight seconds.
+const EJECT_DOUBLINGS: u32 = 3;
+/// Failures in a row that eject; no unit. One may be chance, a died process brings several.
+const EJECT_FAILURES: u32 = 3;
+/// Share of a role's engines under which soft ejections are set aside (panic threshold); no unit.
+const PANIC_SHARE: f64 = 0.5;
+/// Pace against the median of the role at which an engine is an outlier; no unit.
+const SLOW_FACTOR: f64 = 3.0;
+/// Samples before a pace is judged; no unit.
+const SLOW_SAMPLES: u32 = 5;
+/// Time after a `full` in which the engine is passed over where others are usable.
+const FULL_REST: Duration = Duration::from_millis(250);
+
+// Cold engines.
+/// Time over which the rate sent to an engine is averaged.
+const RATE_SPAN: Duration = Duration::from_millis(5_000);
+/// Time whose budget a cold engine's token bucket may save up.
+const COLD_BURST: Duration = Duration::from_millis(500);
+
+// Probes and lists.
+/// Probes that one own request pays for; no unit. Half a probe a request costs little anywhere.
+const PROBES_PER_REQUEST: f64 = 0.5;
+/// Probes that may be saved up; no unit.
+const PROBE_BURST: f64 = 4.0;
+/// Mean time between two looks at which report is oldest; jittered by half of itself.
+const PROBE_STEP: Duration = Duration::from_millis(100);
+/// Age under which a report needs no probe.
+const PROBE_AGE: Duration = Duration::from_millis(600);
+/// Wait before a failed call to the list of engines is made again; jittered.
+const LIST_RETRY: Duration = Duration::from_millis(1_000);
+/// Least time between two log lines.
+const LOG_STEP: Duration = Duration::from_millis(2_000);
+
+/// Why a timer was set.
+enum Alarm {
+    Deadline(RequestId),
+    Check(RequestId, usize),
+    Parked(RequestId),
+    Trial(EngineId),
+    Probe,
+    List,
+}
+
+/// How sure an ejection is: `Hard` for engines that can't be reached, `Soft` for bad ones.
+#[derive(Clone, Copy, PartialEq)]
+enum Grade {
+    Soft,
+    Hard,
+}
+
+struct Server {
+    entry: Engine,
+    role: Role,
+    report: Option<(Duration, LoadReport)>,
+    /// Own prompt tokens sent since the report and still waiting.
+    since: f64,
+    /// Own tokens under way, own attempts out, and how many of these have not begun to answer.
+    tokens: f64,
+    out: u32,
+    waiting: u32,
+    heard: Duration,
+    failures: u32,
+    ejected: Option<(Duration, Grade)>,
+    doublings: u32,
+    on_trial: bool,
+    full_at: Option<Duration>,
+    pace: f64,
+    samples: u32,
+    /// Own rate sent, tokens a second, as of `rate_at`; the bucket of a cold engine.
+    rate: f64,
+    rate_at: Duration,
+    bucket: f64,
+    bucket_at: Duration,
+    probing: bool,
+}
+
+struct Attempt {
+    engine: EngineId,
+    sent: Duration,
+    tokens: f64,
+    read: bool,
+    out: bool,
+    begun: bool,
+    cancelled: bool,
+}
+
+struct Job {
+    request: Request,
+    came: Duration,
+    deadline: Duration,
+    attempts: Vec<Attempt>,
+    /// The reader that holds the state, and since when no attempt has wanted it.
+    held: Option<(EngineId, Duration)>,
+    /// When the first attempt that may have had an effect went out, and where to.
+    may_have_run: Option<(Duration, EngineId)>,
+    ended: bool,
+    parked: bool,
+}
+
+struct Quota {
+    level: f64,
+    at: Duration,
+}
+
+/// The decisions of one router.
+pub struct Router {
+    settings: Settings,
+    rng: Xoshiro256PlusPlus,
+    servers: BTreeMap<EngineId, Server>,
+    jobs: BTreeMap<RequestId, Job>,
+    alarms: BTreeMap<TimerId, Alarm>,
+    next_timer: u64,
+    started: bool,
+    quotas: Vec<Quota>,
+    top_worth: f64,
+    /// The first-token aim above which equal worths are droppable; `None` where worths differ.
+    loose_aim: Option<Duration>,
+    mean_prompt: f64,
+    probe_budget: f64,
+    logged: Option<Duration>,
+}
+
+impl Router {
+    /// A router that knows nothing yet but its settings; `seed` settles its chances.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let worths = || settings.classes.iter().map(|c| c.worth);
+        let top_worth = worths().fold(0.0, f64::max);
+        let equal = worths().all(|w| w >= top_worth);
+        let aims = || settings.classes.iter().map(|c| c.aim);
+        let loose_aim = aims().max().filter(|&loose| equal && aims().any(|a| a < loose));
+        let quotas = settings.tenants.iter().map(|_| Quota { level: 1.0, at: Duration::ZERO }).collect();
+        Router {
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            servers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            next_timer: 0,
+            started: false,
+            quotas,
+            top_worth,
+            loose_aim,
+            mean_prompt: FIRST_PROMPT,
+            probe_budget: 1.0,
+            logged: None,
+            settings,
+        }
+    }
+
+    /// Takes one event at `now` and appends what to do about it to `out`.
+    pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        if !self.started {
+            self.started = true;
+            if self.settings.ask_for_engines {
+                out.push(Action::WatchEngines(true));
+            }
+            if self.settings.reports == ReportSource::Probes && self.settings.limits.probes {
+                self.alarm(Alarm::Probe, PROBE_STEP, out);
+            }
+        }
+        match event {
+            Event::Engines { listing, engines } => self.on_list(now, listing, engines, out),
+            Event::Request(request) => self.on_request(now, request, out),
+            Event::FirstToken { request, attempt, latency } => self.on_first(now, request, attempt, latency),
+            Event::Ended { request, attempt, outcome, latency, finished, report } => {
+                self.on_ended(now, request, attempt, outcome, latency, finished, report, out)
+            }
+            Event::ClientGone(id) => self.end(id, None, out),
+            Event::Timer(timer) => self.on_timer(now, timer, out),
+            Event::Probed { engine, outcome, report } => self.on_probed(now, engine, outcome, report, out),
+            // No place is ever asked for (the writer is picked when the read has ended), and
+            // routers decide alone.
+            Event::Place { .. } | Event::PeerMessage { .. } => {}
+        }
+    }
+
+    // ---- 1. Admit -------------------------------------------------------------------------
+
+    fn on_request(&mut self, now: Duration, request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        if self.jobs.contains_key(&id) || request.class.0 >= self.settings.classes.len() {
+            out.push(Action::Fail(id));
+            return;
+        }
+        self.mean_prompt += PROMPT_WEIGHT * (request.prompt_tokens - self.mean_prompt);
+        self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(PROBE_BURST);
+        let refused = self.droppable(now, &request) && {
+            let chance = refusal_chance(self.saturation(now));
+            self.chance() < chance
+        };
+        let deadline = now + request.time_left.saturating_sub(self.settings.tick * ANSWER_TICKS);
+        let job = Job {
+            request,
+            came: now,
+            deadline,
+            attempts: Vec::new(),
+            held: None,
+            may_have_run: None,
+            ended: false,
+            parked: false,
+        };
+        self.jobs.insert(id, job);
+        if refused {
+            return self.give_up(id, out);
+        }
+        self.alarm(Alarm::Deadline(id), deadline - now, out);
+        self.advance(now, id, out);
+    }
+
+    /// Whether the curve may refuse this request: it is worth less than the best, by its class or
+    /// because its tenant is over its share; where all are worth the same, the loosest aim yields.
+    fn droppable(&mut self, now: Duration, request: &Request) -> bool {
+        let over = self.over_share(now, request.tenant);
+        let class = &self.settings.classes[request.class.0];
+        let worth = class.worth * if over { self.settings.over_share_worth } else { 1.0 };
+        worth < self.top_worth || self.loose_aim == Some(class.aim)
+    }
+
+    /// Token bucket of a tenant's quota, this router's part of it.
+    fn over_share(&mut self, now: Duration, tenant: TenantId) -> bool {
+        let quota = self.settings.tenants.get(tenant.0).and_then(|t| t.quota_per_s);
+        let (Some(quota), Some(bucket)) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
+        let rate = quota / f64::from(self.settings.routers.max(1));
+        let room = (rate * QUOTA_SPAN.as_secs_f64()).max(1.0);
+        bucket.level = (bucket.level + rate * now.saturating_sub(bucket.at).as_secs_f64()).min(room);
+        bucket.at = now;
+        let over = bucket.level < 1.0;
+        if !over {
+            bucket.level -= 1.0;
+        }
+        over
+    }
+
+    /// Mean saturation of the ready engines; one that was not heard of lately takes the mean.
+    fn saturation(&self, now: Duration) -> f64 {
+        let values: Vec<f64> =
+            self.servers.values().filter(|s| s.ready()).filter_map(|s| self.load(now, s)).collect();
+        values.iter().sum::<f64>() / values.len().max(1) as f64
+    }
+
+    /// Saturation of one engine, if it is known.
+    fn load(&self, now: Duration, server: &Server) -> Option<f64> {
+        if self.settings.reports == ReportSource::None {
+            let waiting = server.since * f64::from(self.settings.routers);
+            return Some(waiting / WAITING_THRESHOLD);
+        }
+        let (at, report) = server.report.as_ref()?;
+        if now.saturating_sub(*at) > REPORT_LIFE {
+            return None;
+        }
+        let waiting = report
+            .waiting_tokens
+            .or_else(|| report.queued.map(|n| n * self.mean_prompt))
+            .or_else(|| report.in_flight.map(|n| n * self.waiting_part(server) * self.mean_prompt))
+            .unwrap_or(0.0);
+        let memory = report.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
+        Some(((waiting + server.since) / WAITING_THRESHOLD).max(memory))
+    }
+
+    /// In-flight counts hold running answers too. The part that waits is taken from this router's
+    /// own attempts at the engine, leaning on those at the whole role where they are few.
+    fn waiting_part(&self, server: &Server) -> f64 {
+        let peers = self.servers.values().filter(|s| s.role == server.role);
+        let (waiting, out) =
+            peers.fold((0.0, 0.0), |(w, o), s| (w + f64::from(s.waiting), o + f64::from(s.out)));
+        let role = if out > 0.0 { waiting / out } else { 0.0 };
+        (f64::from(server.waiting) + WAITING_PRIOR * role) / (f64::from(server.out) + WAITING_PRIOR)
+    }
+
+    // ---- 2. Read, 3. Write ------------------------------------------------------------------
+
+    /// Takes the next step of a request that has no attempt out: writes a held state, else reads.
+    fn advance(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.ended || job.parked || job.attempts.iter().any(|a| a.out) {
+            return;
+        }
+        let left = self.settings.limits.attempts.saturating_sub(job.attempts.len());
+        let unsafe_now = job.may_have_run.is_some() && self.effect(job) == Effect::Unsafe;
+        if left == 0 || unsafe_now || now >= job.deadline {
+            return self.give_up(id, out);
+        }
+        let target = match job.held {
+            Some(_) => self.pick_writer(now, id),
+            None => self.pick_reader(now, job, left),
+        };
+        match target {
+            Some(engine) => self.send(now, id, engine, out),
+            None => self.park(now, id, out),
+        }
+    }
+
+    /// Rendezvous hashing of the shared beginning, else the session: of the top two usable readers
+    /// the one with fewer own tokens under way. A mixed engine reads and answers in one attempt, so
+    /// it needs only one; a reader needs another for the write.
+    fn pick_reader(&self, now: Duration, job: &Job, left: usize) -> Option<EngineId> {
+        let key = job.request.shared_prefix.unwrap_or(job.request.session);
+        let writers_read = self.settings.writers_read;
+        let mut pool = self.pool(now, job, |s| match s.role {
+            Role::Read => left >= 2,
+            Role::Both => true,
+            Role::Write => writers_read,
+        });
+        pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
+        pool.truncate(2);
+        self.least_tokens(&pool)
+    }
+
+    /// Power of two choices: two writers at random, the one with fewer own tokens under way.
+    fn pick_writer(&mut self, now: Duration, id: RequestId) -> Option<EngineId> {
+        let job = self.jobs.get(&id)?;
+        let mut pool = self.pool(now, job, |s| s.role != Role::Read);
+        while pool.len() > 2 {
+            let at = (self.chance() * pool.len() as f64) as usize;
+            pool.swap_remove(at);
+        }
+        self.least_tokens(&pool)
+    }
+
+    fn least_tokens(&self, pool: &[EngineId]) -> Option<EngineId> {
+        pool.iter().copied().min_by(|a, b| self.servers[a].tokens.total_cmp(&self.servers[b].tokens))
+    }
+
+    /// The usable engines for this request's next attempt. Those it has tried, and those that just
+    /// were full, are passed over while there are others. Under the panic threshold the merely bad
+    /// ones are usable again; the unreachable ones only when nothing else is left.
+    fn pool(&self, now: Duration, job: &Job, role: impl Fn(&Server) -> bool) -> Vec<EngineId> {
+        let warm = |s: &&Server| !self.is_cold(now, s) || s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
+        let all: Vec<&Server> =
+            self.servers.values().filter(|s| s.ready() && role(s) && self.may_send(now, job, s)).collect();
+        let fit = |s: &&&Server| s.fit(now);
+        let mut pool: Vec<&Server> = all.iter().filter(fit).copied().collect();
+        if (pool.len() as f64) < PANIC_SHARE * all.len() as f64 {
+            pool = all.iter().filter(|s| !s.unreachable()).copied().collect();
+        }
+        if pool.is_empty() {
+            pool = all;
+        }
+        pool.retain(warm);
+        let fresh = |s: &&&Server| {
+            !job.attempts.iter().any(|a| a.engine == s.entry.id && (!a.read || job.held.is_none()))
+                && s.full_at.is_none_or(|at| now.saturating_sub(at) > FULL_REST)
+        };
+        let preferred: Vec<EngineId> = pool.iter().filter(fresh).map(|s| s.entry.id).collect();
+        if preferred.is_empty() {
+            pool.iter().map(|s| s.entry.id).collect()
+        } else {
+            preferred
+        }
+    }
+
+    /// Rule of effects: a keyed request that may have run goes only to the engines that drop its
+    /// repeats, while they remember it. Reads have no effect.
+    fn may_send(&self, now: Duration, job: &Job, server: &Server) -> bool {
+        let (Some((at, first)), Effect::Keyed { group, window }) = (job.may_have_run, self.effect(job))
+        else {
+            return true;
+        };
+        if server.role == Role::Read {
+            return true;
+        }
+        let same =
+            |f: fn(&Engine) -> u32| self.servers.get(&first).map(|s| f(&s.entry)) == Some(f(&server.entry));
+        now < at + window.saturating_sub(self.settings.tick * ANSWER_TICKS)
+            && match group {
+                Group::All => true,
+                Group::Zone => same(|e| e.zone.0),
+                Group::Cell => same(|e| e.cell.0),
+            }
+    }
+
+    fn effect(&self, job: &Job) -> Effect {
+        self.settings.classes[job.request.class.0].effect
+    }
+
+    fn send(&mut self, now: Duration, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
+        let cold_rate =
+            self.servers.get(&engine).filter(|s| self.is_cold(now, s)).map(|s| self.cold_rate(now, s));
+        let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&engine)) else {
+            return;
+        };
+        let prompt = job.request.prompt_tokens;
+        let read = server.role == Role::Read;
+        let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
+        job.held = None;
+        job.attempts.push(Attempt {
+            engine,
+            sent: now,
+            tokens,
+            read,
+            out: true,
+            begun: false,
+            cancelled: false,
+        });
+        if !read && job.may_have_run.is_none() {
+            job.may_have_run = Some((now, engine));
+        }
+        let attempt = job.attempts.len() - 1;
+        server.tokens += tokens;
+        server.since += prompt;
+        server.out += 1;
+        server.waiting += 1;
+        server.on_trial = server.ejected.is_some();
+        server.note_rate(now, prompt);
+        if let Some(rate) = cold_rate {
+            server.bucket = server.bucket_level(now, rate) - prompt;
+            server.bucket_at = now;
+        }
+        out.push(Action::Send { request: id, engine, limit: None });
+        let patience = self.patience(engine, prompt);
+        self.alarm(Alarm::Check(id, attempt), patience, out);
+    }
+
+    /// How long an engine may say nothing at all under an attempt of this length.
+    fn patience(&self, engine: EngineId, prompt: f64) -> Duration {
+        let role = self.servers.get(&engine).map(|s| s.role);
+        let pace = role.and_then(|role| self.median_pace(role)).unwrap_or(FIRST_PACE);
+        MIN_PATIENCE.max(Duration::from_secs_f64(PATIENCE_FACTOR * pace * (prompt + FIXED_TOKENS)))
+    }
+
+    /// Nothing is usable just now: wait a little, a held state never longer than part of its limit.
+    fn park(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
+        let patience = self.settings.let_go_within.mul_f64(HOLD_PART);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let waited = match job.held {
+            Some((_, since)) => now.saturating_sub(since) + PARK_STEP >= patience,
+            None => now.saturating_sub(job.came) > job.request.time_left / 2,
+        };
+        if waited || self.servers.is_empty() {
+            return self.give_up(id, out);
+        }
+        job.parked = true;
+        self.alarm(Alarm::Parked(id), PARK_STEP, out);
+    }
+
+    // ---- 4. Further attempts ------------------------------------------------------------------
+
+    fn on_first(&mut self, now: Duration, id: RequestId, attempt: usize, latency: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(a) = job.attempts.get_mut(attempt) else { return };
+        if !a.out || a.begun {
+            return;
+        }
+        a.begun = true;
+        job.ended = true;
+        job.held = None;
+        let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
+        self.stop_waiting(engine, sent, prompt);
+        self.heard_well(now, engine, Some((latency, prompt)));
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_ended(
+        &mut self, now: Duration, id: RequestId, attempt: usize, outcome: Outcome, latency: Duration,
+        finished: bool, report: LoadReport, out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(a) = job.attempts.get_mut(attempt).filter(|a| a.out) else { return };
+        a.out = false;
+        let (engine, sent, begun, read, tokens) = (a.engine, a.sent, a.begun, a.read, a.tokens);
+        let prompt = job.request.prompt_tokens;
+        job.ended |= finished;
+        if outcome.proves_not_run() && job.may_have_run == Some((sent, engine)) {
+            job.may_have_run = None;
+        }
+        job.held = match outcome {
+            Outcome::Read => Some((engine, now)),
+            Outcome::Ok | Outcome::Full { no_state: true } => None,
+            // The state still waits unless it was fetched: asking another writer for it tells.
+            _ if !read => job.attempts.iter().rev().find(|a| a.read).map(|a| (a.engine, now)),
+            _ => None,
+        };
+        let ended = job.ended;
+        if let Some(server) = self.servers.get_mut(&engine) {
+            server.out = server.out.saturating_sub(1);
+            server.tokens = (server.tokens - tokens).max(0.0);
+            server.on_trial = false;
+        }
+        if !begun {
+            self.stop_waiting(engine, sent, prompt);
+        }
+        self.take_report(now, engine, report);
+        match outcome {
+            Outcome::Ok | Outcome::Read => {
+                let sample = (read || !begun).then_some((latency, prompt));
+                self.heard_well(now, engine, sample)
+            }
+            Outcome::Full { .. } => {
+                if let Some(server) = self.servers.get_mut(&engine) {
+                    server.full_at = Some(now);
+                    server.heard = now;
+                }
+            }
+            Outcome::ConnectFailed => self.eject(now, engine, Grade::Hard, "no connection", out),
+            Outcome::Error | Outcome::Reset => self.failed(now, engine, out),
+            Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
+        }
+        if ended {
+            self.end(id, None, out);
+        } else {
+            self.advance(now, id, out);
+        }
+    }
+
+    /// One look at an attempt after its patience. An engine that was heard of since is only busy;
+    /// one that said nothing while sends are out is taken for unreachable, whatever the cause (a
+    /// dead process, a cut link, a long stall). A read moves on, and so does a write that may run
+    /// twice; an unsafe write is awaited. Harm: a stall shorter than the next word costs a read.
+    fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(a) = job.attempts.get(attempt).filter(|a| a.out && !a.begun) else { return };
+        let (engine, read) = (a.engine, a.read);
+        let patience = self.patience(engine, job.request.prompt_tokens);
+        let heard = self.servers.get(&engine).map_or(Duration::ZERO, |s| s.heard).max(a.sent);
+        if heard + patience > now {
+            let after = heard + patience - now;
+            return self.alarm(Alarm::Check(id, attempt), after, out);
+        }
+        let repeatable = read || self.effect(job) == Effect::Safe;
+        let left = self.settings.limits.attempts - job.attempts.len();
+        let moves = !job.ended && repeatable && left >= 1 && self.settings.limits.cancel;
+        self.eject(now, engine, Grade::Hard, "silent", out);
+        if moves {
+            self.jobs.get_mut(&id).expect("looked up above").attempts[attempt].cancelled = true;
+            out.push(Action::Cancel { request: id, attempt });
+        } else {
+            self.alarm(Alarm::Check(id, attempt), patience, out);
+        }
+    }
+
+    // ---- 5. End, 6. Let go ------------------------------------------------------------------
+
+    /// No further attempt: the final answer, at once.
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
+        let harmless = match (job.may_have_run, self.effect(job)) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(_), Effect::Keyed { group, .. }) => group == Group::All,
+            (Some(_), Effect::Unsafe) => false,
+        };
+        let answer = if harmless {
+            let wait = RETRY_AFTER.mul_f64(0.5 + self.chance());
+            let retry_after = self.settings.limits.retry_after.map(|most| wait.min(most));
+            Action::Refuse { request: id, retry_after }
+        } else {
+            Action::Fail(id)
+        };
+        self.end(id, Some(answer), out);
+    }
+
+    /// The one place where a request ends and what is held for it is let go. A read that is still
+    /// out may yet leave a state behind: its outcome comes through here again.
+    fn end(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.ended = true;
+        out.extend(answer);
+        if self.settings.limits.cancel {
+            for (attempt, a) in job.attempts.iter_mut().enumerate() {
+                if a.out && !a.begun && !a.cancelled {
+                    a.cancelled = true;
+                    out.push(Action::Cancel { request: id, attempt });
+                }
+            }
+        }
+        let streaming = job.attempts.iter().any(|a| a.begun);
+        if !job.attempts.is_empty() && !streaming {
+            out.push(Action::Release(id));
+        }
+        job.held = None;
+        if job.attempts.iter().all(|a| !a.out) {
+            self.jobs.remove(&id);
+        }
+    }
+
+    fn on_timer(&mut self, now: Duration, timer: TimerId, out: &mut Vec<Action>) {
+        match self.alarms.remove(&timer) {
+            Some(Alarm::Deadline(id)) if self.jobs.get(&id).is_some_and(|j| !j.ended) => {
+                self.end(id, Some(Action::Fail(id)), out)
+            }
+            Some(Alarm::Check(id, attempt)) => self.on_check(now, id, attempt, out),
+            Some(Alarm::Parked(id)) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.parked = false;
+                    self.advance(now, id, out);
+                }
+            }
+            Some(Alarm::Trial(engine)) => {
+                let due =
+                    self.servers.get_mut(&engine).filter(|s| s.ready() && s.unreachable() && !s.probing);
+                match due {
+                    Some(_) if self.settings.limits.probes => self.probe(engine, out),
+                    Some(server) => server.ejected = Some((now, Grade::Soft)),
+                    None => {}
+                }
+            }
+            Some(Alarm::Probe) => self.on_probe_step(now, out),
+            Some(Alarm::List) => out.push(Action::WatchEngines(true)),
+            Some(Alarm::Deadline(_)) | None => {}
+        }
+    }
+
+    // ---- 7. Health ------------------------------------------------------------------------------
+
+    /// An engine answered: it can be reached, and its latency is one more sample of its pace.
+    fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>) {
+        let Some(server) = self.servers.get_mut(&engine) else { return };
+        server.heard = now;
+        server.failures = 0;
+        server.doublings = server.doublings.saturating_sub(1);
+        server.ejected = server.ejected.filter(|&(until, grade)| grade == Grade::Soft && now < until);
+        let Some((latency, prompt)) = sample else { return };
+        let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
+        let weight = if server.samples == 0 { 1.0 } else { PACE_WEIGHT };
+        server.pace += weight * (pace - server.pace);
+        server.samples += 1;
+        let (role, pace, samples) = (server.role, server.pace, server.samples);
+        let slow = self.median_pace(role).is_some_and(|median| pace > SLOW_FACTOR * median);
+        if slow && samples >= SLOW_SAMPLES {
+            self.eject(now, engine, Grade::Soft, "slow against its peers", &mut Vec::new());
+        }
+    }
+
+    /// Seconds a token at the median engine of a role; `None` before any was heard.
+    fn median_pace(&self, role: Role) -> Option<f64> {
+        let mut paces: Vec<f64> =
+            self.servers.values().filter(|s| s.role == role && s.samples > 0).map(|s| s.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied()
+    }
+
+    fn failed(&mut self, now: Duration, engine: EngineId, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get_mut(&engine) else { return };
+        server.failures += 1;
+        if server.failures >= EJECT_FAILURES {
+            self.eject(now, engine, Grade::Soft, "failing", out);
+        }
+    }
+
+    /// Outlier ejection with backoff. An unreachable engine is probed before its trial.
+    fn eject(&mut self, now: Duration, engine: EngineId, grade: Grade, why: &str, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get_mut(&engine) else { return };
+        if let Some((until, old)) = server.ejected {
+            if now < until && (old == Grade::Hard || grade == Grade::Soft) {
+                return;
+            }
+        }
+        let length = EJECT_BASE * (1 << server.doublings);
+        server.doublings = (server.doublings + 1).min(EJECT_DOUBLINGS);
+        server.failures = 0;
+        server.samples = 0;
+        let length = length.mul_f64(1.0 + 0.25 * self.chance());
+        let server = self.servers.get_mut(&engine).expect("looked up above");
+        server.ejected = Some((now + length, grade));
+        if grade == Grade::Hard {
+            self.alarm(Alarm::Trial(engine), length, out);
+        }
+        self.log(now, format!("engine {:x} ejected for {} ms: {why}", engine.0, length.as_millis()), out);
+    }
+
+    // ---- 8. Cold --------------------------------------------------------------------------------
+
+    fn is_cold(&self, now: Duration, server: &Server) -> bool {
+        server.entry.started.is_some_and(|at| now < at + self.settings.cold_time)
+    }
+
+    /// What a cold engine may be sent, tokens a second: the share that it can surely do of what this
+    /// router sends a warm engine of the role. Every router does the same with its own part.
+    fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
+        let started = server.entry.started.unwrap_or(Duration::ZERO);
+        let age = now.saturating_sub(started).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
+        let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
+        let peers: Vec<&Server> =
+            self.servers.values().filter(|s| s.role == server.role && s.ready()).collect();
+        let warm = peers.iter().filter(|s| !self.is_cold(now, s)).count();
+        let rate: f64 = peers.iter().map(|s| s.rate_now(now)).sum();
+        share * rate.max(self.mean_prompt / RATE_SPAN.as_secs_f64()) / warm.max(peers.len() / 2).max(1) as f64
+    }
+
+    // ---- 9. Lists and reports -----------------------------------------------------------------
+
+    fn on_list(&mut self, now: Duration, listing: Listing, engines: Vec<Engine>, out: &mut Vec<Action>) {
+        if listing == Listing::Failed {
+            if self.settings.ask_for_engines {
+                let wait = LIST_RETRY.mul_f64(0.5 + self.chance());
+                self.alarm(Alarm::List, wait, out);
+            }
+            return;
+        }
+        if listing != Listing::Changes {
+            let named: Vec<EngineId> = engines.iter().map(|e| e.id).collect();
+            self.servers.retain(|id, _| named.contains(id));
+        }
+        for entry in engines {
+            if entry.state == EngineState::Gone {
+                self.servers.remove(&entry.id);
+                continue;
+            }
+            let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
+            match self.servers.get_mut(&entry.id) {
+                Some(server) if server.entry.started == entry.started => server.entry = entry,
+                // A restart: what was known of the engine is void, what is out there is not.
+                Some(server) => {
+                    let kept = (server.tokens, server.out, server.waiting);
+                    *server = Server::new(now, entry, role);
+                    (server.tokens, server.out, server.waiting) = kept;
+                }
+                None => {
+                    self.servers.insert(entry.id, Server::new(now, entry, role));
+                }
+            }
+        }
+    }
+
+    fn take_report(&mut self, now: Duration, engine: EngineId, report: LoadReport) {
+        if report == LoadReport::default() {
+            return;
+        }
+        if let Some(server) = self.servers.get_mut(&engine) {
+            server.report = Some((now, report));
+            server.since = 0.0;
+        }
+    }
+
+    fn on_probed(
+        &mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get_mut(&engine) else { return };
+        server.probing = false;
+        if outcome == Outcome::Ok {
+            server.heard = now;
+            if let Some((until, Grade::Hard)) = server.ejected {
+                server.ejected = Some((until.min(now), Grade::Soft));
+            }
+            self.take_report(now, engine, report);
+        } else if server.unreachable() {
+            self.eject(now, engine, Grade::Hard, "no answer to a probe", out);
+        }
+    }
+
+    fn on_probe_step(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let age = |s: &Server| s.report.as_ref().map_or(Duration::MAX, |(at, _)| now.saturating_sub(*at));
+        let oldest = self
+            .servers
+            .values()
+            .filter(|s| s.ready() && !s.probing && !s.unreachable() && age(s) > PROBE_AGE)
+            .max_by_key(|s| age(s))
+            .map(|s| s.entry.id);
+        if let Some(engine) = oldest.filter(|_| self.probe_budget >= 1.0) {
+            self.probe_budget -= 1.0;
+            self.probe(engine, out);
+        }
+        let wait = PROBE_STEP.mul_f64(0.5 + self.chance());
+        self.alarm(Alarm::Probe, wait, out);
+    }
+
+    fn probe(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        if let Some(server) = self.servers.get_mut(&engine) {
+            server.probing = true;
+            out.push(Action::Probe(engine));
+        }
+    }
+
+    // ---- Small parts ------------------------------------------------------------------------------
+
+    fn stop_waiting(&mut self, engine: EngineId, sent: Duration, prompt: f64) {
+        let Some(server) = self.servers.get_mut(&engine) else { return };
+        server.waiting = server.waiting.saturating_sub(1);
+        if server.report.as_ref().is_none_or(|(at, _)| sent > *at) {
+            server.since = (server.since - prompt).max(0.0);
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm, after: Duration, out: &mut Vec<Action>) {
+        let timer = TimerId(self.next_timer);
+        self.next_timer += 1;
+        self.alarms.insert(timer, alarm);
+        out.push(Action::SetTimer { timer, after });
+    }
+
+    /// A number from 0 to 1, 1 excluded.
+    fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn log(&mut self, now: Duration, line: String, out: &mut Vec<Action>) {
+        if self.logged.is_none_or(|at| now.saturating_sub(at) >= LOG_STEP) {
+            self.logged = Some(now);
+            out.push(Action::Log(line));
+        }
+    }
+}
+
+/// The curve of the llm-d post.
+fn refusal_chance(saturation: f64) -> f64 {
+    (CURVE_FACTOR * saturation.powi(CURVE_POWER)).min(1.0)
+}
+
+impl Server {
+    fn new(now: Duration, entry: Engine, role: Role) -> Self {
+        Server {
+            entry,
+            role,
+            report: None,
+            since: 0.0,
+            tokens: 0.0,
+            out: 0,
+            waiting: 0,
+            heard: now,
+            failures: 0,
+            ejected: None,
+            doublings: 0,
+            on_trial: false,
+            full_at: None,
+            pace: 0.0,
+            samples: 0,
+            rate: 0.0,
+            rate_at: now,
+            bucket: 0.0,
+            bucket_at: now,
+            probing: false,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.state == EngineState::Ready
+    }
+
+    /// Not ejected, or its time is over and it is due for its one trial.
+    fn fit(&self, now: Duration) -> bool {
+        match self.ejected {
+            None => true,
+            Some((_, Grade::Hard)) => false,
+            Some((until, Grade::Soft)) => now >= until && !self.on_trial,
+        }
+    }
+
+    fn unreachable(&self) -> bool {
+        matches!(self.ejected, Some((_, Grade::Hard)))
+    }
+
+    fn rate_now(&self, now: Duration) -> f64 {
+        self.rate * (-now.saturating_sub(self.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
+    }
+
+    fn note_rate(&mut self, now: Duration, tokens: f64) {
+        self.rate = self.rate_now(now) + tokens / RATE_SPAN.as_secs_f64();
+        self.rate_at = now;
+    }
+
+    /// What the bucket of a cold engine holds at this rate.
+    fn bucket_level(&self, now: Duration, rate: f64) -> f64 {
+        let gained = rate * now.saturating_sub(self.bucket_at).as_secs_f64();
+        (self.bucket + gained).min(rate * COLD_BURST.as_secs_f64())
+    }
+}
