--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,14 +38,16 @@
 // Attempts.
 /// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
-/// Patience as a multiple of the latency usual for the role and prompt; no unit.
-const PATIENCE_FACTOR: f64 = 4.0;
+/// Mean deviations over the mean pace of a role that an attempt may take (as in TCP's time-out); no unit.
+const PATIENCE_DEVIATIONS: f64 = 4.0;
 /// Latency of a token-weighted prompt before any was seen, seconds a token. A slow reader's.
 const FIRST_PACE: f64 = 0.000_3;
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
 /// Weight of one sample in an engine's pace; no unit. About the last ten.
 const PACE_WEIGHT: f64 = 0.15;
+/// Weight of one sample in a role's pace; no unit. About the last thirty.
+const ROLE_WEIGHT: f64 = 0.06;
 /// How often work that found no usable engine looks again.
 const PARK_STEP: Duration = Duration::from_millis(25);
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
@@ -174,6 +176,8 @@
     /// The first-token aim above which equal worths are droppable; `None` where worths differ.
     loose_aim: Option<Duration>,
     mean_prompt: f64,
+    /// Mean pace and its mean deviation for each role, seconds a token.
+    paces: [(f64, f64); 3],
     probe_budget: f64,
     logged: Option<Duration>,
 }
@@ -198,6 +202,7 @@
             top_worth,
             loose_aim,
             mean_prompt: FIRST_PROMPT,
+            paces: [(FIRST_PACE, FIRST_PACE / 2.0); 3],
             probe_budget: 1.0,
             logged: None,
             settings,
@@ -470,9 +475,10 @@
 
     /// How long an engine may say nothing at all under an attempt of this length.
     fn patience(&self, engine: EngineId, prompt: f64) -> Duration {
-        let role = self.servers.get(&engine).map(|s| s.role);
-        let pace = role.and_then(|role| self.median_pace(role)).unwrap_or(FIRST_PACE);
-        MIN_PATIENCE.max(Duration::from_secs_f64(PATIENCE_FACTOR * pace * (prompt + FIXED_TOKENS)))
+        let role = self.servers.get(&engine).map_or(Role::Both, |s| s.role);
+        let (mean, deviation) = self.paces[role as usize];
+        let pace = mean + PATIENCE_DEVIATIONS * deviation;
+        MIN_PATIENCE.max(Duration::from_secs_f64(pace * (prompt + FIXED_TOKENS)))
     }
 
     /// Nothing is usable just now: wait a little, a held state never longer than part of its limit.
@@ -667,6 +673,9 @@
         server.ejected = server.ejected.filter(|&(until, grade)| grade == Grade::Soft && now < until);
         let Some((latency, prompt)) = sample else { return };
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
+        let (mean, deviation) = &mut self.paces[server.role as usize];
+        *deviation += ROLE_WEIGHT * ((pace - *mean).abs() - *deviation);
+        *mean += ROLE_WEIGHT * (pace - *mean);
         let weight = if server.samples == 0 { 1.0 } else { PACE_WEIGHT };
         server.pace += weight * (pace - server.pace);
         server.samples += 1;
