--- a/src/rules.rs
+++ b/src/rules.rs
@@ -141,6 +141,7 @@
     read: bool,
     out: bool,
     begun: bool,
+    asked: bool,
     cancelled: bool,
 }
 
@@ -452,6 +453,7 @@
             read,
             out: true,
             begun: false,
+            asked: false,
             cancelled: false,
         });
         if !read && job.may_have_run.is_none() {
@@ -579,6 +581,12 @@
             let after = heard + patience - now;
             return self.alarm(Alarm::Check(id, attempt), after, out);
         }
+        if self.settings.limits.probes && !a.asked {
+            self.jobs.get_mut(&id).expect("looked up above").attempts[attempt].asked = true;
+            self.probe(engine, out);
+            let wait = self.settings.limits.connect_timeout + self.settings.tick * ANSWER_TICKS;
+            return self.alarm(Alarm::Check(id, attempt), wait, out);
+        }
         let repeatable = read || self.effect(job) == Effect::Safe;
         let left = self.settings.limits.attempts - job.attempts.len();
         let moves = !job.ended && repeatable && left >= 1 && self.settings.limits.cancel;
