--- a/src/rules.rs
+++ b/src/rules.rs
@@ -369,10 +369,19 @@
         self.least_tokens(&pool)
     }
 
-    /// Power of two choices: two writers at random, the one with fewer own tokens under way.
+    /// Power of two choices: two writers at random, the one with fewer own tokens under way; those of
+    /// the reader's cell before those of its zone before all others, as moving state far is slow and priced.
     fn pick_writer(&mut self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
+        let reader = job.held.and_then(|(reader, _)| self.servers.get(&reader));
+        let (cell, zone) = reader.map(|s| (s.entry.cell, s.entry.zone)).unzip();
         let mut pool = self.pool(now, job, |s| s.role != Role::Read);
+        let distance = |id: &EngineId| {
+            let entry = &self.servers[id].entry;
+            u8::from(Some(entry.cell) != cell) + u8::from(Some(entry.zone) != zone)
+        };
+        let nearest = pool.iter().map(distance).min();
+        pool.retain(|id| Some(distance(id)) == nearest);
         while pool.len() > 2 {
             let at = (self.chance() * pool.len() as f64) as usize;
             pool.swap_remove(at);
