--- a/src/rules.rs
+++ b/src/rules.rs
@@ -224,7 +224,9 @@
         match event {
             Event::Engines { listing, engines } => self.on_list(now, listing, engines, out),
             Event::Request(request) => self.on_request(now, request, out),
-            Event::FirstToken { request, attempt, latency } => self.on_first(now, request, attempt, latency),
+            Event::FirstToken { request, attempt, latency } => {
+                self.on_first(now, request, attempt, latency, out)
+            }
             Event::Ended { request, attempt, outcome, latency, finished, report } => {
                 self.on_ended(now, request, attempt, outcome, latency, finished, report, out)
             }
@@ -509,13 +511,17 @@
 
     // ---- 4. Further attempts ------------------------------------------------------------------
 
-    fn on_first(&mut self, now: Duration, id: RequestId, attempt: usize, latency: Duration) {
+    fn on_first(
+        &mut self, now: Duration, id: RequestId, attempt: usize, latency: Duration, out: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(attempt) else { return };
         if !a.out || a.begun {
             return;
         }
         a.begun = true;
+        // The first token frees what else is held, but that word can be lost on a cut link.
+        out.push(Action::Release(id));
         job.ended = true;
         job.held = None;
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
@@ -642,8 +648,7 @@
                 }
             }
         }
-        let streaming = job.attempts.iter().any(|a| a.begun);
-        if !job.attempts.is_empty() && !streaming {
+        if !job.attempts.is_empty() {
             out.push(Action::Release(id));
         }
         job.held = None;
