--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,8 +28,9 @@
 const PROMPT_WEIGHT: f64 = 0.02;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
-/// Attempts of the whole role that the estimate of an engine's waiting part starts from; no unit.
-const WAITING_PRIOR: f64 = 2.0;
+/// Attempts of the usual kind that the estimate of an engine's waiting part starts from; no unit. As many
+/// as steady a share against chance.
+const WAITING_PRIOR: f64 = 8.0;
 /// How long a tenant may save up its unused quota. Evens out chance arrivals.
 const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
 /// Retry time told with a refusal, before jitter. The time a queue of a saturated engine drains in.
@@ -140,7 +141,8 @@
     tokens: f64,
     read: bool,
     out: bool,
-    begun: bool,
+    /// Since the send, when the answer began.
+    begun: Option<Duration>,
     asked: bool,
     cancelled: bool,
 }
@@ -179,6 +181,8 @@
     mean_prompt: f64,
     /// Mean pace and its mean deviation for each role, seconds a token.
     paces: [(f64, f64); 3],
+    /// Mean time that attempts of each role wait, and that they take as a whole, seconds.
+    times: [(f64, f64); 3],
     probe_budget: f64,
     logged: Option<Duration>,
 }
@@ -204,6 +208,7 @@
             loose_aim,
             mean_prompt: FIRST_PROMPT,
             paces: [(FIRST_PACE, FIRST_PACE / 2.0); 3],
+            times: [(0.0, 0.0); 3],
             probe_budget: 1.0,
             logged: None,
             settings,
@@ -296,11 +301,15 @@
         over
     }
 
-    /// Mean saturation of the ready engines; one that was not heard of lately takes the mean.
+    /// Mean saturation of the ready engines; one that was not heard of lately takes the mean. Exception
+    /// to the post: where the writers alone stand higher, theirs counts, as idle readers would hide them.
     fn saturation(&self, now: Duration) -> f64 {
-        let values: Vec<f64> =
-            self.servers.values().filter(|s| s.ready()).filter_map(|s| self.load(now, s)).collect();
-        values.iter().sum::<f64>() / values.len().max(1) as f64
+        let mean = |writers: bool| {
+            let engines = self.servers.values().filter(|s| s.ready() && (!writers || s.role != Role::Read));
+            let values: Vec<f64> = engines.filter_map(|s| self.load(now, s)).collect();
+            values.iter().sum::<f64>() / values.len().max(1) as f64
+        };
+        mean(false).max(mean(true))
     }
 
     /// Saturation of one engine, if it is known.
@@ -322,14 +331,12 @@
         Some(((waiting + server.since) / WAITING_THRESHOLD).max(memory))
     }
 
-    /// In-flight counts hold running answers too. The part that waits is taken from this router's
-    /// own attempts at the engine, leaning on those at the whole role where they are few.
+    /// In-flight counts hold running answers too. The part that waits is the part of their time that
+    /// attempts of the role waited lately, corrected by this router's own attempts at the engine.
     fn waiting_part(&self, server: &Server) -> f64 {
-        let peers = self.servers.values().filter(|s| s.role == server.role);
-        let (waiting, out) =
-            peers.fold((0.0, 0.0), |(w, o), s| (w + f64::from(s.waiting), o + f64::from(s.out)));
-        let role = if out > 0.0 { waiting / out } else { 0.0 };
-        (f64::from(server.waiting) + WAITING_PRIOR * role) / (f64::from(server.out) + WAITING_PRIOR)
+        let (waited, whole) = self.times[server.role as usize];
+        let usual = if whole > 0.0 { waited / whole } else { 0.0 };
+        (f64::from(server.waiting) + WAITING_PRIOR * usual) / (f64::from(server.out) + WAITING_PRIOR)
     }
 
     // ---- 2. Read, 3. Write ------------------------------------------------------------------
@@ -345,12 +352,18 @@
         if left == 0 || unsafe_now || now >= job.deadline {
             return self.give_up(id, out);
         }
+        let (held, again) = (job.held.is_some(), !job.attempts.is_empty());
         let target = match job.held {
             Some(_) => self.pick_writer(now, id),
             None => self.pick_reader(now, job, left),
         };
+        // State that could not be fetched may still wait where the writer could not reach it.
+        if !held && again {
+            out.push(Action::Release(id));
+        }
         match target {
             Some(engine) => self.send(now, id, engine, out),
+            None if left < 2 && !held => self.give_up(id, out),
             None => self.park(now, id, out),
         }
     }
@@ -463,7 +476,7 @@
             tokens,
             read,
             out: true,
-            begun: false,
+            begun: None,
             asked: false,
             cancelled: false,
         });
@@ -516,10 +529,10 @@
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(attempt) else { return };
-        if !a.out || a.begun {
+        if !a.out || a.begun.is_some() {
             return;
         }
-        a.begun = true;
+        a.begun = Some(latency);
         // The first token frees what else is held, but that word can be lost on a cut link.
         out.push(Action::Release(id));
         job.ended = true;
@@ -556,13 +569,14 @@
             server.tokens = (server.tokens - tokens).max(0.0);
             server.on_trial = false;
         }
-        if !begun {
+        if begun.is_none() {
             self.stop_waiting(engine, sent, prompt);
         }
         self.take_report(now, engine, report);
         match outcome {
             Outcome::Ok | Outcome::Read => {
-                let sample = (read || !begun).then_some((latency, prompt));
+                let sample = (read || begun.is_none()).then_some((latency, prompt));
+                self.note_times(engine, begun.unwrap_or(latency), latency);
                 self.heard_well(now, engine, sample)
             }
             Outcome::Full { .. } => {
@@ -588,7 +602,7 @@
     /// twice; an unsafe write is awaited. Harm: a stall shorter than the next word costs a read.
     fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some(a) = job.attempts.get(attempt).filter(|a| a.out && !a.begun) else { return };
+        let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
         let (engine, read) = (a.engine, a.read);
         let patience = self.patience(engine, job.request.prompt_tokens);
         let heard = self.servers.get(&engine).map_or(Duration::ZERO, |s| s.heard).max(a.sent);
@@ -642,7 +656,7 @@
         out.extend(answer);
         if self.settings.limits.cancel {
             for (attempt, a) in job.attempts.iter_mut().enumerate() {
-                if a.out && !a.begun && !a.cancelled {
+                if a.out && a.begun.is_none() && !a.cancelled {
                     a.cancelled = true;
                     out.push(Action::Cancel { request: id, attempt });
                 }
@@ -708,6 +722,13 @@
         }
     }
 
+    fn note_times(&mut self, engine: EngineId, waited: Duration, whole: Duration) {
+        let Some(server) = self.servers.get(&engine) else { return };
+        let times = &mut self.times[server.role as usize];
+        times.0 += ROLE_WEIGHT * (waited.as_secs_f64() - times.0);
+        times.1 += ROLE_WEIGHT * (whole.as_secs_f64() - times.1);
+    }
+
     /// Seconds a token at the median engine of a role; `None` before any was heard.
     fn median_pace(&self, role: Role) -> Option<f64> {
         let mut paces: Vec<f64> =
