--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,9 @@
 /// Share of memory held that counts as saturation 1. Starting value of the design: full memory
 /// alone refuses one droppable request in six.
 const MEMORY_THRESHOLD: f64 = 4.5;
+/// Part of the saturation that counts for protected requests once all droppable ones are refused; no unit.
+/// Their curve so reaches 1 well above the point at which the droppable one does.
+const PROTECTED_PART: f64 = 0.8;
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
 /// Weight of one new prompt in the mean prompt length; no unit. About the last hundred requests.
@@ -254,10 +257,9 @@
         }
         self.mean_prompt += PROMPT_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(PROBE_BURST);
-        let refused = self.droppable(now, &request) && {
-            let chance = refusal_chance(self.saturation(now));
-            self.chance() < chance
-        };
+        let droppable = self.droppable(now, &request);
+        let chance = refusal_chance(self.saturation(now), droppable);
+        let refused = self.chance() < chance;
         let deadline = now + request.time_left.saturating_sub(self.settings.tick * ANSWER_TICKS);
         let job = Job {
             request,
@@ -900,9 +902,16 @@
     }
 }
 
-/// The curve of the llm-d post.
-fn refusal_chance(saturation: f64) -> f64 {
-    (CURVE_FACTOR * saturation.powi(CURVE_POWER)).min(1.0)
+/// The curve of the llm-d post. Exception: where it refuses all droppable requests and saturation still
+/// stands that high, what is left of the fleet can't carry the protected ones either; all would come too
+/// late. The same curve, on a part of the saturation, then holds for them.
+fn refusal_chance(saturation: f64, droppable: bool) -> f64 {
+    let curve = |s: f64| (CURVE_FACTOR * s.powi(CURVE_POWER)).min(1.0);
+    match curve(saturation) {
+        chance if droppable => chance,
+        chance if chance < 1.0 => 0.0,
+        _ => curve(PROTECTED_PART * saturation),
+    }
 }
 
 impl Server {
