--- a/src/rules.rs
+++ b/src/rules.rs
@@ -225,7 +225,7 @@
             if self.settings.ask_for_engines {
                 out.push(Action::WatchEngines(true));
             }
-            if self.settings.reports == ReportSource::Probes && self.settings.limits.probes {
+            if self.settings.reports != ReportSource::None && self.settings.limits.probes {
                 self.alarm(Alarm::Probe, PROBE_STEP, out);
             }
         }
