--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 // Attempts.
+/// Own tokens under way at a near writer, against those at a far one, above which the far one is taken.
+const FAR_FACTOR: f64 = 2.0;
 /// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
 /// Mean deviations over the mean pace of a role that an attempt may take (as in TCP's time-out); no unit.
@@ -386,19 +388,30 @@
         self.least_tokens(&pool)
     }
 
-    /// Power of two choices: two writers at random, the one with fewer own tokens under way; those of
-    /// the reader's cell before those of its zone before all others, as moving state far is slow and priced.
+    /// Power of two choices: two writers at random, the one with fewer own tokens under way. Exception:
+    /// moving state far is slow and priced, so a pair of the reader's cell (else its zone) comes first,
+    /// unless a pair of the others bears so much less that waiting near costs more than the move.
     fn pick_writer(&mut self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
+        let own = job.request.prompt_tokens + job.request.max_output_tokens;
         let reader = job.held.and_then(|(reader, _)| self.servers.get(&reader));
         let (cell, zone) = reader.map(|s| (s.entry.cell, s.entry.zone)).unzip();
-        let mut pool = self.pool(now, job, |s| s.role != Role::Read);
+        let pool = self.pool(now, job, |s| s.role != Role::Read);
         let distance = |id: &EngineId| {
             let entry = &self.servers[id].entry;
             u8::from(Some(entry.cell) != cell) + u8::from(Some(entry.zone) != zone)
         };
         let nearest = pool.iter().map(distance).min();
-        pool.retain(|id| Some(distance(id)) == nearest);
+        let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
+        let (near, far) = (self.two_choices(near), self.two_choices(far));
+        let bears = |id: EngineId| self.servers[&id].tokens;
+        match (near, far) {
+            (Some(n), Some(f)) if bears(n) > FAR_FACTOR * (bears(f) + own) => Some(f),
+            _ => near,
+        }
+    }
+
+    fn two_choices(&mut self, mut pool: Vec<EngineId>) -> Option<EngineId> {
         while pool.len() > 2 {
             let at = (self.chance() * pool.len() as f64) as usize;
             pool.swap_remove(at);
