--- a/src/interface.rs
+++ b/src/interface.rs
@@ -294,6 +294,8 @@
         latency: Duration,
         /// The request is finished.
         finished: bool,
+        /// Prompt tokens that a read found kept.
+        kept_tokens: f64,
         /// The engine's load, where told.
         report: LoadReport,
     },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -184,6 +184,8 @@
     /// The first-token aim above which equal worths are droppable; `None` where worths differ.
     loose_aim: Option<Duration>,
     mean_prompt: f64,
+    /// Mean part of a prompt that its reader had not kept.
+    unread: f64,
     /// Mean pace and its mean deviation for each role, seconds a token.
     paces: [(f64, f64); 3],
     /// Mean time that attempts of each role wait, and that they take as a whole, seconds.
@@ -212,6 +214,7 @@
             top_worth,
             loose_aim,
             mean_prompt: FIRST_PROMPT,
+            unread: 1.0,
             paces: [(FIRST_PACE, FIRST_PACE / 2.0); 3],
             times: [(0.0, 0.0); 3],
             probe_budget: 1.0,
@@ -237,7 +240,8 @@
             Event::FirstToken { request, attempt, latency } => {
                 self.on_first(now, request, attempt, latency, out)
             }
-            Event::Ended { request, attempt, outcome, latency, finished, report } => {
+            Event::Ended { request, attempt, outcome, latency, finished, kept_tokens, report } => {
+                self.note_kept(request, outcome, kept_tokens);
                 self.on_ended(now, request, attempt, outcome, latency, finished, report, out)
             }
             Event::ClientGone(id) => self.end(id, None, out),
@@ -326,13 +330,21 @@
         if now.saturating_sub(*at) > REPORT_LIFE {
             return None;
         }
-        let waiting = report
-            .waiting_tokens
-            .or_else(|| report.queued.map(|n| n * self.mean_prompt))
-            .or_else(|| report.in_flight.map(|n| n * self.waiting_part(server) * self.mean_prompt))
-            .unwrap_or(0.0);
+        let to_read = if server.role == Role::Read { self.unread } else { 1.0 };
+        let counted = || report.queued.or(report.in_flight.map(|n| n * self.waiting_part(server)));
+        let waiting = match report.waiting_tokens {
+            Some(tokens) => tokens + server.since,
+            None => (counted().unwrap_or(0.0) * self.mean_prompt + server.since) * to_read,
+        };
         let memory = report.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
-        Some(((waiting + server.since) / WAITING_THRESHOLD).max(memory))
+        Some((waiting / WAITING_THRESHOLD).max(memory))
+    }
+
+    /// Of a prompt a reader has to read only what it has not kept: a count of prompts is worth less there.
+    fn note_kept(&mut self, id: RequestId, outcome: Outcome, kept: f64) {
+        let Some(job) = self.jobs.get(&id).filter(|_| outcome == Outcome::Read) else { return };
+        let unread = 1.0 - (kept / job.request.prompt_tokens.max(1.0)).clamp(0.0, 1.0);
+        self.unread += PROMPT_WEIGHT * (unread - self.unread);
     }
 
     /// In-flight counts hold running answers too. The part that waits is the part of their time that
