--- a/src/rules.rs
+++ b/src/rules.rs
@@ -310,14 +310,14 @@
     }
 
     /// Mean saturation of the ready engines; one that was not heard of lately takes the mean. Exception
-    /// to the post: where the writers alone stand higher, theirs counts, as idle readers would hide them.
+    /// to the post: of the two stages the fuller one counts, as idle engines of the other would hide it.
     fn saturation(&self, now: Duration) -> f64 {
-        let mean = |writers: bool| {
-            let engines = self.servers.values().filter(|s| s.ready() && (!writers || s.role != Role::Read));
+        let stage = |other: Role| {
+            let engines = self.servers.values().filter(|s| s.ready() && s.role != other);
             let values: Vec<f64> = engines.filter_map(|s| self.load(now, s)).collect();
             values.iter().sum::<f64>() / values.len().max(1) as f64
         };
-        mean(false).max(mean(true))
+        stage(Role::Read).max(stage(Role::Write))
     }
 
     /// Saturation of one engine, if it is known.
