--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 // Cold engines.
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
+/// Weight of one send in what warm engines are taken to bear; no unit. About the last fifty.
+const BORNE_WEIGHT: f64 = 0.04;
 /// Time whose budget a cold engine's token bucket may save up.
 const COLD_BURST: Duration = Duration::from_millis(500);
 
@@ -127,6 +129,8 @@
     heard: Duration,
     failures: u32,
     ejected: Option<(Duration, Grade)>,
+    /// When it was last reached again after it could not be.
+    returned: Option<Duration>,
     doublings: u32,
     on_trial: bool,
     full_at: Option<Duration>,
@@ -190,6 +194,8 @@
     paces: [(f64, f64); 3],
     /// Mean time that attempts of each role wait, and that they take as a whole, seconds.
     times: [(f64, f64); 3],
+    /// What a warm engine of each role bears from this router, tokens a second.
+    borne: [f64; 3],
     probe_budget: f64,
     logged: Option<Duration>,
 }
@@ -217,6 +223,7 @@
             unread: 1.0,
             paces: [(FIRST_PACE, FIRST_PACE / 2.0); 3],
             times: [(0.0, 0.0); 3],
+            borne: [0.0; 3],
             probe_budget: 1.0,
             logged: None,
             settings,
@@ -522,6 +529,8 @@
             server.bucket_at = now;
         }
         out.push(Action::Send { request: id, engine, limit: None });
+        let role = server.role;
+        self.note_borne(now, role);
         let patience = self.patience(engine, prompt);
         self.alarm(Alarm::Check(id, attempt), patience, out);
     }
@@ -715,7 +724,7 @@
                     self.servers.get_mut(&engine).filter(|s| s.ready() && s.unreachable() && !s.probing);
                 match due {
                     Some(_) if self.settings.limits.probes => self.probe(engine, out),
-                    Some(server) => server.ejected = Some((now, Grade::Soft)),
+                    Some(server) => (server.returned, server.ejected) = (Some(now), Some((now, Grade::Soft))),
                     None => {}
                 }
             }
@@ -732,6 +741,7 @@
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         server.failures = 0;
+        server.returned = if server.unreachable() { Some(now) } else { server.returned };
         server.doublings = server.doublings.saturating_sub(1);
         server.ejected = server.ejected.filter(|&(until, grade)| grade == Grade::Soft && now < until);
         let Some((latency, prompt)) = sample else { return };
@@ -795,21 +805,33 @@
 
     // ---- 8. Cold --------------------------------------------------------------------------------
 
+    /// Told to have started, or back from where it could not be reached: it may have restarted long
+    /// before the list says so, and what is sent while it comes up counts against it. Guards against
+    /// a fleet that returns at once; harm: after a mere cut an engine gets its full share late.
     fn is_cold(&self, now: Duration, server: &Server) -> bool {
-        server.entry.started.is_some_and(|at| now < at + self.settings.cold_time)
+        server.unreachable() || self.cold_since(server).is_some_and(|at| now < at + self.settings.cold_time)
     }
 
-    /// What a cold engine may be sent, tokens a second: the share that it can surely do of what this
-    /// router sends a warm engine of the role. Every router does the same with its own part.
+    fn cold_since(&self, server: &Server) -> Option<Duration> {
+        server.entry.started.max(server.returned)
+    }
+
+    /// What a cold engine may be sent, tokens a second: the share that it can surely do of what warm
+    /// engines of the role bear from this router. Every router does the same with its own part.
     fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
-        let started = server.entry.started.unwrap_or(Duration::ZERO);
-        let age = now.saturating_sub(started).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
+        let since = self.cold_since(server).filter(|_| !server.unreachable()).unwrap_or(now);
+        let age = now.saturating_sub(since).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
-        let peers: Vec<&Server> =
-            self.servers.values().filter(|s| s.role == server.role && s.ready()).collect();
-        let warm = peers.iter().filter(|s| !self.is_cold(now, s)).count();
-        let rate: f64 = peers.iter().map(|s| s.rate_now(now)).sum();
-        share * rate.max(self.mean_prompt / RATE_SPAN.as_secs_f64()) / warm.max(peers.len() / 2).max(1) as f64
+        share * self.borne[server.role as usize].max(self.mean_prompt / RATE_SPAN.as_secs_f64())
+    }
+
+    /// What a warm engine of each role bears: a slow mean, so that it outlives an outage.
+    fn note_borne(&mut self, now: Duration, role: Role) {
+        let warm = || self.servers.values().filter(|s| s.role == role && s.ready() && !self.is_cold(now, s));
+        if warm().count() > 0 {
+            let mean = warm().map(|s| s.rate_now(now)).sum::<f64>() / warm().count() as f64;
+            self.borne[role as usize] += BORNE_WEIGHT * (mean - self.borne[role as usize]);
+        }
     }
 
     // ---- 9. Lists and reports -----------------------------------------------------------------
@@ -866,6 +888,7 @@
         if outcome == Outcome::Ok {
             server.heard = now;
             if let Some((until, Grade::Hard)) = server.ejected {
+                server.returned = Some(now);
                 server.ejected = Some((until.min(now), Grade::Soft));
             }
             self.take_report(now, engine, report);
@@ -952,6 +975,7 @@
             heard: now,
             failures: 0,
             ejected: None,
+            returned: None,
             doublings: 0,
             on_trial: false,
             full_at: None,
