--- a/src/bin/slipreel-adapter/wire.rs
+++ b/src/bin/slipreel-adapter/wire.rs
@@ -230,7 +230,7 @@
             let report = f.report(columns(router))?;
             let Some(outcome) = outcome(status, note) else { return Ok(Input::Unknown) };
             let kept_tokens = if outcome == Outcome::Read { f64::from(note) } else { 0.0 };
-            Event::Ended { request, attempt, outcome, latency, finished, kept_tokens, report }
+            Event::Ended(Ended { request, attempt, outcome, latency, finished, kept_tokens, report })
         }
         6 => Event::ClientGone(RequestId(f.u64()?)),
         7 => Event::Timer(TimerId(f.u64()?)),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// An engine, the same at every router and across restarts of its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineId(pub u64);
 /// A request; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,19 +15,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TimerId(pub u64);
 /// Position in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
 /// Position in [`Settings::tenants`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub usize);
 /// Position in [`Settings::kinds`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KindId(pub usize);
 /// A zone: a place that fails and is cut off as one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u32);
 /// A cell: a small set of engines with fast links among them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u32);
 
 /// What a request does when it runs.
@@ -80,9 +80,10 @@
 }
 
 /// What an engine can do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
     /// Reads prompts.
+    #[default]
     Read,
     /// Writes answers.
     Write,
@@ -152,9 +153,10 @@
 }
 
 /// Whether an engine takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EngineState {
     /// It does.
+    #[default]
     Ready,
     /// It finishes what it has.
     Draining,
@@ -163,7 +165,7 @@
 }
 
 /// One entry of the list of engines.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Engine {
     /// Which engine.
     pub id: EngineId,
@@ -261,6 +263,25 @@
     }
 }
 
+/// The end of one attempt; each has exactly one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// Which request.
+    pub request: RequestId,
+    /// Which of its attempts, from 0.
+    pub attempt: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Since its send.
+    pub latency: Duration,
+    /// The request is finished.
+    pub finished: bool,
+    /// Prompt tokens that a read found kept.
+    pub kept_tokens: f64,
+    /// The engine's load, where told.
+    pub report: LoadReport,
+}
+
 /// What a router is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -283,22 +304,7 @@
         latency: Duration,
     },
     /// An attempt has ended.
-    Ended {
-        /// Which request.
-        request: RequestId,
-        /// Which of its attempts, from 0.
-        attempt: usize,
-        /// How it ended.
-        outcome: Outcome,
-        /// Since its send.
-        latency: Duration,
-        /// The request is finished.
-        finished: bool,
-        /// Prompt tokens that a read found kept.
-        kept_tokens: f64,
-        /// The engine's load, where told.
-        report: LoadReport,
-    },
+    Ended(Ended),
     /// The answer to a request for a place at a writer.
     Place {
         /// Which request.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -116,6 +116,7 @@
     Hard,
 }
 
+#[derive(Default)]
 struct Server {
     entry: Engine,
     role: Role,
@@ -153,7 +154,6 @@
     /// Since the send, when the answer began.
     begun: Option<Duration>,
     asked: bool,
-    cancelled: bool,
 }
 
 struct Job {
@@ -245,12 +245,9 @@
             Event::Engines { listing, engines } => self.on_list(now, listing, engines, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::FirstToken { request, attempt, latency } => {
-                self.on_first(now, request, attempt, latency, out)
-            }
-            Event::Ended { request, attempt, outcome, latency, finished, kept_tokens, report } => {
-                self.note_kept(request, outcome, kept_tokens);
-                self.on_ended(now, request, attempt, outcome, latency, finished, report, out)
+                self.on_first(now, (request, attempt), latency, out)
             }
+            Event::Ended(ended) => self.on_ended(now, ended, out),
             Event::ClientGone(id) => self.end(id, None, out),
             Event::Timer(timer) => self.on_timer(now, timer, out),
             Event::Probed { engine, outcome, report } => self.on_probed(now, engine, outcome, report, out),
@@ -274,16 +271,9 @@
         let chance = refusal_chance(self.saturation(now), droppable);
         let refused = self.chance() < chance;
         let deadline = now + request.time_left.saturating_sub(self.settings.tick * ANSWER_TICKS);
-        let job = Job {
-            request,
-            came: now,
-            deadline,
-            attempts: Vec::new(),
-            held: None,
-            may_have_run: None,
-            ended: false,
-            parked: false,
-        };
+        let (attempts, held, may_have_run) = (Vec::new(), None, None);
+        let job =
+            Job { request, came: now, deadline, attempts, held, may_have_run, ended: false, parked: false };
         self.jobs.insert(id, job);
         if refused {
             return self.give_up(id, out);
@@ -347,13 +337,6 @@
         Some((waiting / WAITING_THRESHOLD).max(memory))
     }
 
-    /// Of a prompt a reader has to read only what it has not kept: a count of prompts is worth less there.
-    fn note_kept(&mut self, id: RequestId, outcome: Outcome, kept: f64) {
-        let Some(job) = self.jobs.get(&id).filter(|_| outcome == Outcome::Read) else { return };
-        let unread = 1.0 - (kept / job.request.prompt_tokens.max(1.0)).clamp(0.0, 1.0);
-        self.unread += PROMPT_WEIGHT * (unread - self.unread);
-    }
-
     /// In-flight counts hold running answers too. The part that waits is the part of their time that
     /// attempts of the role waited lately, corrected by this router's own attempts at the engine.
     fn waiting_part(&self, server: &Server) -> f64 {
@@ -504,16 +487,7 @@
         let read = server.role == Role::Read;
         let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
         job.held = None;
-        job.attempts.push(Attempt {
-            engine,
-            sent: now,
-            tokens,
-            read,
-            out: true,
-            begun: None,
-            asked: false,
-            cancelled: false,
-        });
+        job.attempts.push(Attempt { engine, sent: now, tokens, read, out: true, begun: None, asked: false });
         if !read && job.may_have_run.is_none() {
             job.may_have_run = Some((now, engine));
         }
@@ -561,34 +535,28 @@
     // ---- 4. Further attempts ------------------------------------------------------------------
 
     fn on_first(
-        &mut self, now: Duration, id: RequestId, attempt: usize, latency: Duration, out: &mut Vec<Action>,
+        &mut self, now: Duration, which: (RequestId, usize), latency: Duration, out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(a) = job.attempts.get_mut(attempt) else { return };
-        if !a.out || a.begun.is_some() {
-            return;
-        }
+        let Some(job) = self.jobs.get_mut(&which.0) else { return };
+        let Some(a) = job.attempts.get_mut(which.1).filter(|a| a.out && a.begun.is_none()) else { return };
         a.begun = Some(latency);
-        // The first token frees what else is held, but that word can be lost on a cut link.
-        out.push(Action::Release(id));
         job.ended = true;
         job.held = None;
+        // The first token frees what else is held, but that word can be lost on a cut link.
+        out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
         self.stop_waiting(engine, sent, prompt);
         self.heard_well(now, engine, Some((latency, prompt)));
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self, now: Duration, id: RequestId, attempt: usize, outcome: Outcome, latency: Duration,
-        finished: bool, report: LoadReport, out: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, now: Duration, ended: Ended, out: &mut Vec<Action>) {
+        let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(a) = job.attempts.get_mut(attempt).filter(|a| a.out) else { return };
+        let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
         a.out = false;
-        let (engine, sent, begun, read, tokens) = (a.engine, a.sent, a.begun, a.read, a.tokens);
+        let Attempt { engine, sent, begun, read, tokens, .. } = *a;
         let prompt = job.request.prompt_tokens;
-        job.ended |= finished;
+        job.ended |= ended.finished;
         if outcome.proves_not_run() && job.may_have_run == Some((sent, engine)) {
             job.may_have_run = None;
         }
@@ -599,33 +567,34 @@
             _ if !read => job.attempts.iter().rev().find(|a| a.read).map(|a| (a.engine, now)),
             _ => None,
         };
-        let ended = job.ended;
+        let over = job.ended;
         if let Some(server) = self.servers.get_mut(&engine) {
             server.out = server.out.saturating_sub(1);
             server.tokens = (server.tokens - tokens).max(0.0);
             server.on_trial = false;
+            if matches!(outcome, Outcome::Full { .. }) {
+                server.full_at = Some(now);
+                server.heard = now;
+            }
         }
         if begun.is_none() {
             self.stop_waiting(engine, sent, prompt);
         }
-        self.take_report(now, engine, report);
+        self.take_report(now, engine, ended.report);
         match outcome {
             Outcome::Ok | Outcome::Read => {
-                let sample = (read || begun.is_none()).then_some((latency, prompt));
-                self.note_times(engine, begun.unwrap_or(latency), latency);
-                self.heard_well(now, engine, sample)
-            }
-            Outcome::Full { .. } => {
-                if let Some(server) = self.servers.get_mut(&engine) {
-                    server.full_at = Some(now);
-                    server.heard = now;
+                if read {
+                    let unread = 1.0 - (ended.kept_tokens / prompt.max(1.0)).clamp(0.0, 1.0);
+                    self.unread += PROMPT_WEIGHT * (unread - self.unread);
                 }
+                self.note_times(engine, begun.unwrap_or(latency), latency);
+                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, prompt)))
             }
             Outcome::ConnectFailed => self.eject(now, engine, Grade::Hard, "no connection", out),
             Outcome::Error | Outcome::Reset => self.failed(now, engine, out),
-            Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
+            Outcome::Full { .. } | Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
         }
-        if ended {
+        if over {
             self.end(id, None, out);
         } else {
             self.advance(now, id, out);
@@ -657,7 +626,6 @@
         let moves = !job.ended && repeatable && left >= 1 && self.settings.limits.cancel;
         self.eject(now, engine, Grade::Hard, "silent", out);
         if moves {
-            self.jobs.get_mut(&id).expect("looked up above").attempts[attempt].cancelled = true;
             out.push(Action::Cancel { request: id, attempt });
         } else {
             self.alarm(Alarm::Check(id, attempt), patience, out);
@@ -691,12 +659,9 @@
         job.ended = true;
         out.extend(answer);
         if self.settings.limits.cancel {
-            for (attempt, a) in job.attempts.iter_mut().enumerate() {
-                if a.out && a.begun.is_none() && !a.cancelled {
-                    a.cancelled = true;
-                    out.push(Action::Cancel { request: id, attempt });
-                }
-            }
+            let open = |(_, a): &(usize, &Attempt)| a.out && a.begun.is_none();
+            let open = job.attempts.iter().enumerate().filter(open);
+            out.extend(open.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
         }
         if !job.attempts.is_empty() {
             out.push(Action::Release(id));
@@ -964,29 +929,7 @@
 
 impl Server {
     fn new(now: Duration, entry: Engine, role: Role) -> Self {
-        Server {
-            entry,
-            role,
-            report: None,
-            since: 0.0,
-            tokens: 0.0,
-            out: 0,
-            waiting: 0,
-            heard: now,
-            failures: 0,
-            ejected: None,
-            returned: None,
-            doublings: 0,
-            on_trial: false,
-            full_at: None,
-            pace: 0.0,
-            samples: 0,
-            rate: 0.0,
-            rate_at: now,
-            bucket: 0.0,
-            bucket_at: now,
-            probing: false,
-        }
+        Server { entry, role, heard: now, rate_at: now, bucket_at: now, ..Server::default() }
     }
 
     fn ready(&self) -> bool {
