--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,50 +19,45 @@
 const CURVE_POWER: i32 = 5;
 /// Prompt tokens waiting at one engine that count as saturation 1. Starting value of the design.
 const WAITING_THRESHOLD: f64 = 60_000.0;
-/// Share of memory held that counts as saturation 1. Starting value of the design: full memory
-/// alone refuses one droppable request in six.
+/// Share of memory that counts as saturation 1. From the design: full memory alone refuses one in six.
 const MEMORY_THRESHOLD: f64 = 4.5;
-/// Part of the saturation that counts for protected requests once all droppable ones are refused; no unit.
-/// Their curve so reaches 1 well above the point at which the droppable one does.
+/// Part of the saturation that counts for protected requests; no unit. Their curve ends above the other's.
 const PROTECTED_PART: f64 = 0.8;
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
-/// Weight of one new prompt in the mean prompt length; no unit. About the last hundred requests.
+/// Weight of one new prompt in the means over prompts; no unit. About the last fifty requests.
 const PROMPT_WEIGHT: f64 = 0.02;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
-/// Attempts of the usual kind that the estimate of an engine's waiting part starts from; no unit. As many
-/// as steady a share against chance.
+/// Usual attempts that the estimate of an engine's waiting part starts from; no unit. Steadies small counts.
 const WAITING_PRIOR: f64 = 8.0;
 /// How long a tenant may save up its unused quota. Evens out chance arrivals.
 const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
-/// Retry time told with a refusal, before jitter. The time a queue of a saturated engine drains in.
+/// Retry time told with a refusal, jittered by half. The time a saturated engine's queue drains in.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-
 // Attempts.
-/// Own tokens under way at a near writer, against those at a far one, above which the far one is taken.
+/// Own tokens at a near writer against those at a far one above which the far one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
 /// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
-/// Mean deviations over the mean pace of a role that an attempt may take (as in TCP's time-out); no unit.
+/// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
-/// Latency of a token-weighted prompt before any was seen, seconds a token. A slow reader's.
+/// Pace before any was seen, seconds a token. A slow reader's.
 const FIRST_PACE: f64 = 0.000_3;
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
-/// Weight of one sample in an engine's pace; no unit. About the last ten.
+/// Weight of one sample in an engine's pace; no unit. About the last seven.
 const PACE_WEIGHT: f64 = 0.15;
-/// Weight of one sample in a role's pace; no unit. About the last thirty.
+/// Weight of one sample in a role's figures; no unit. About the last seventeen.
 const ROLE_WEIGHT: f64 = 0.06;
 /// How often work that found no usable engine looks again.
 const PARK_STEP: Duration = Duration::from_millis(25);
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
 const HOLD_PART: f64 = 0.5;
-/// Ticks before the client's end at which the final answer goes out; no unit.
+/// Ticks before the client's end at which the final answer goes out; no unit. One to tell, one to spare.
 const ANSWER_TICKS: u32 = 2;
-
 // Health.
-/// Ejection time of a first offence.
+/// Ejection time of a first offence, jittered by a quarter. A short outage.
 const EJECT_BASE: Duration = Duration::from_millis(1_000);
 /// Doublings of the ejection time at most; no unit. Bounds it at eight seconds.
 const EJECT_DOUBLINGS: u32 = 3;
@@ -72,29 +67,27 @@
 const PANIC_SHARE: f64 = 0.5;
 /// Pace against the median of the role at which an engine is an outlier; no unit.
 const SLOW_FACTOR: f64 = 3.0;
-/// Samples before a pace is judged; no unit.
+/// Samples before a pace is judged; no unit. Fewer are chance.
 const SLOW_SAMPLES: u32 = 5;
-/// Time after a `full` in which the engine is passed over where others are usable.
+/// Time after a `full` in which the engine is passed over where others are usable. A few services.
 const FULL_REST: Duration = Duration::from_millis(250);
-
 // Cold engines.
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
-/// Weight of one send in what warm engines are taken to bear; no unit. About the last fifty.
+/// Weight of one send in what warm engines are taken to bear; no unit. About the last twenty-five.
 const BORNE_WEIGHT: f64 = 0.04;
-/// Time whose budget a cold engine's token bucket may save up.
+/// Time whose budget a cold engine's token bucket may save up. Well under any span of the rule.
 const COLD_BURST: Duration = Duration::from_millis(500);
-
 // Probes and lists.
 /// Probes that one own request pays for; no unit. Half a probe a request costs little anywhere.
 const PROBES_PER_REQUEST: f64 = 0.5;
 /// Probes that may be saved up; no unit.
 const PROBE_BURST: f64 = 4.0;
-/// Mean time between two looks at which report is oldest; jittered by half of itself.
+/// Mean time between two looks at which report is oldest; jittered by half.
 const PROBE_STEP: Duration = Duration::from_millis(100);
 /// Age under which a report needs no probe.
 const PROBE_AGE: Duration = Duration::from_millis(600);
-/// Wait before a failed call to the list of engines is made again; jittered.
+/// Wait before a failed call to the list of engines is made again; jittered by half.
 const LIST_RETRY: Duration = Duration::from_millis(1_000);
 /// Least time between two log lines.
 const LOG_STEP: Duration = Duration::from_millis(2_000);
@@ -169,9 +162,17 @@
     parked: bool,
 }
 
-struct Quota {
-    level: f64,
-    at: Duration,
+/// Means over the engines of one role, as this router sees them.
+#[derive(Clone, Copy, Default)]
+struct Means {
+    /// Latency by length, and its mean deviation, seconds a token.
+    pace: f64,
+    deviation: f64,
+    /// Time that attempts wait, and that they take as a whole, seconds.
+    waited: f64,
+    whole: f64,
+    /// What a warm engine bears from this router, tokens a second.
+    borne: f64,
 }
 
 /// The decisions of one router.
@@ -183,19 +184,16 @@
     alarms: BTreeMap<TimerId, Alarm>,
     next_timer: u64,
     started: bool,
-    quotas: Vec<Quota>,
+    /// Token bucket of each tenant's quota: its level and when.
+    quotas: Vec<(f64, Duration)>,
     top_worth: f64,
     /// The first-token aim above which equal worths are droppable; `None` where worths differ.
     loose_aim: Option<Duration>,
     mean_prompt: f64,
     /// Mean part of a prompt that its reader had not kept.
     unread: f64,
-    /// Mean pace and its mean deviation for each role, seconds a token.
-    paces: [(f64, f64); 3],
-    /// Mean time that attempts of each role wait, and that they take as a whole, seconds.
-    times: [(f64, f64); 3],
-    /// What a warm engine of each role bears from this router, tokens a second.
-    borne: [f64; 3],
+    /// By role.
+    means: [Means; 3],
     probe_budget: f64,
     logged: Option<Duration>,
 }
@@ -208,7 +206,7 @@
         let equal = worths().all(|w| w >= top_worth);
         let aims = || settings.classes.iter().map(|c| c.aim);
         let loose_aim = aims().max().filter(|&loose| equal && aims().any(|a| a < loose));
-        let quotas = settings.tenants.iter().map(|_| Quota { level: 1.0, at: Duration::ZERO }).collect();
+        let quotas = settings.tenants.iter().map(|_| (1.0, Duration::ZERO)).collect();
         Router {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             servers: BTreeMap::new(),
@@ -221,9 +219,7 @@
             loose_aim,
             mean_prompt: FIRST_PROMPT,
             unread: 1.0,
-            paces: [(FIRST_PACE, FIRST_PACE / 2.0); 3],
-            times: [(0.0, 0.0); 3],
-            borne: [0.0; 3],
+            means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
             probe_budget: 1.0,
             logged: None,
             settings,
@@ -294,15 +290,13 @@
     /// Token bucket of a tenant's quota, this router's part of it.
     fn over_share(&mut self, now: Duration, tenant: TenantId) -> bool {
         let quota = self.settings.tenants.get(tenant.0).and_then(|t| t.quota_per_s);
-        let (Some(quota), Some(bucket)) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
-        let rate = quota / f64::from(self.settings.routers.max(1));
+        let (Some(quota), Some((level, at))) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
+        let rate = quota / f64::from(self.settings.routers);
         let room = (rate * QUOTA_SPAN.as_secs_f64()).max(1.0);
-        bucket.level = (bucket.level + rate * now.saturating_sub(bucket.at).as_secs_f64()).min(room);
-        bucket.at = now;
-        let over = bucket.level < 1.0;
-        if !over {
-            bucket.level -= 1.0;
-        }
+        *level = (*level + rate * now.saturating_sub(*at).as_secs_f64()).min(room);
+        *at = now;
+        let over = *level < 1.0;
+        *level -= if over { 0.0 } else { 1.0 };
         over
     }
 
@@ -340,8 +334,8 @@
     /// In-flight counts hold running answers too. The part that waits is the part of their time that
     /// attempts of the role waited lately, corrected by this router's own attempts at the engine.
     fn waiting_part(&self, server: &Server) -> f64 {
-        let (waited, whole) = self.times[server.role as usize];
-        let usual = if whole > 0.0 { waited / whole } else { 0.0 };
+        let Means { waited, whole, .. } = self.means[server.role as usize];
+        let usual = waited / whole.max(f64::EPSILON);
         (f64::from(server.waiting) + WAITING_PRIOR * usual) / (f64::from(server.out) + WAITING_PRIOR)
     }
 
@@ -512,8 +506,7 @@
     /// How long an engine may say nothing at all under an attempt of this length.
     fn patience(&self, engine: EngineId, prompt: f64) -> Duration {
         let role = self.servers.get(&engine).map_or(Role::Both, |s| s.role);
-        let (mean, deviation) = self.paces[role as usize];
-        let pace = mean + PATIENCE_DEVIATIONS * deviation;
+        let pace = self.means[role as usize].pace + PATIENCE_DEVIATIONS * self.means[role as usize].deviation;
         MIN_PATIENCE.max(Duration::from_secs_f64(pace * (prompt + FIXED_TOKENS)))
     }
 
@@ -711,9 +704,9 @@
         server.ejected = server.ejected.filter(|&(until, grade)| grade == Grade::Soft && now < until);
         let Some((latency, prompt)) = sample else { return };
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
-        let (mean, deviation) = &mut self.paces[server.role as usize];
-        *deviation += ROLE_WEIGHT * ((pace - *mean).abs() - *deviation);
-        *mean += ROLE_WEIGHT * (pace - *mean);
+        let means = &mut self.means[server.role as usize];
+        means.deviation += ROLE_WEIGHT * ((pace - means.pace).abs() - means.deviation);
+        means.pace += ROLE_WEIGHT * (pace - means.pace);
         let weight = if server.samples == 0 { 1.0 } else { PACE_WEIGHT };
         server.pace += weight * (pace - server.pace);
         server.samples += 1;
@@ -726,9 +719,9 @@
 
     fn note_times(&mut self, engine: EngineId, waited: Duration, whole: Duration) {
         let Some(server) = self.servers.get(&engine) else { return };
-        let times = &mut self.times[server.role as usize];
-        times.0 += ROLE_WEIGHT * (waited.as_secs_f64() - times.0);
-        times.1 += ROLE_WEIGHT * (whole.as_secs_f64() - times.1);
+        let means = &mut self.means[server.role as usize];
+        means.waited += ROLE_WEIGHT * (waited.as_secs_f64() - means.waited);
+        means.whole += ROLE_WEIGHT * (whole.as_secs_f64() - means.whole);
     }
 
     /// Seconds a token at the median engine of a role; `None` before any was heard.
@@ -787,7 +780,7 @@
         let since = self.cold_since(server).filter(|_| !server.unreachable()).unwrap_or(now);
         let age = now.saturating_sub(since).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
-        share * self.borne[server.role as usize].max(self.mean_prompt / RATE_SPAN.as_secs_f64())
+        share * self.means[server.role as usize].borne.max(self.mean_prompt / RATE_SPAN.as_secs_f64())
     }
 
     /// What a warm engine of each role bears: a slow mean, so that it outlives an outage.
@@ -795,7 +788,8 @@
         let warm = || self.servers.values().filter(|s| s.role == role && s.ready() && !self.is_cold(now, s));
         if warm().count() > 0 {
             let mean = warm().map(|s| s.rate_now(now)).sum::<f64>() / warm().count() as f64;
-            self.borne[role as usize] += BORNE_WEIGHT * (mean - self.borne[role as usize]);
+            let borne = &mut self.means[role as usize].borne;
+            *borne += BORNE_WEIGHT * (mean - *borne);
         }
     }
 
