--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineId(pub u64);
 /// A request; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 /// A timer that the router has set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -210,7 +210,7 @@
 }
 
 /// A client's request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     /// Which request.
     pub id: RequestId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-// Admission.
 /// Factor of the refusal curve; no unit. From the llm-d post.
 const CURVE_FACTOR: f64 = 300.0;
 /// Power of the refusal curve; no unit. From the llm-d post.
@@ -25,8 +24,8 @@
 const PROTECTED_PART: f64 = 0.8;
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
-/// Weight of one new prompt in the means over prompts; no unit. About the last fifty requests.
-const PROMPT_WEIGHT: f64 = 0.02;
+/// Weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
+const MEAN_WEIGHT: f64 = 0.06;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
 /// Usual attempts that the estimate of an engine's waiting part starts from; no unit. Steadies small counts.
@@ -35,7 +34,6 @@
 const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
 /// Retry time told with a refusal, jittered by half. The time a saturated engine's queue drains in.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-// Attempts.
 /// Own tokens at a near writer against those at a far one above which the far one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
 /// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
@@ -48,15 +46,12 @@
 const FIXED_TOKENS: f64 = 500.0;
 /// Weight of one sample in an engine's pace; no unit. About the last seven.
 const PACE_WEIGHT: f64 = 0.15;
-/// Weight of one sample in a role's figures; no unit. About the last seventeen.
-const ROLE_WEIGHT: f64 = 0.06;
 /// How often work that found no usable engine looks again.
 const PARK_STEP: Duration = Duration::from_millis(25);
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
 const HOLD_PART: f64 = 0.5;
 /// Ticks before the client's end at which the final answer goes out; no unit. One to tell, one to spare.
 const ANSWER_TICKS: u32 = 2;
-// Health.
 /// Ejection time of a first offence, jittered by a quarter. A short outage.
 const EJECT_BASE: Duration = Duration::from_millis(1_000);
 /// Doublings of the ejection time at most; no unit. Bounds it at eight seconds.
@@ -71,14 +66,10 @@
 const SLOW_SAMPLES: u32 = 5;
 /// Time after a `full` in which the engine is passed over where others are usable. A few services.
 const FULL_REST: Duration = Duration::from_millis(250);
-// Cold engines.
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
-/// Weight of one send in what warm engines are taken to bear; no unit. About the last twenty-five.
-const BORNE_WEIGHT: f64 = 0.04;
 /// Time whose budget a cold engine's token bucket may save up. Well under any span of the rule.
 const COLD_BURST: Duration = Duration::from_millis(500);
-// Probes and lists.
 /// Probes that one own request pays for; no unit. Half a probe a request costs little anywhere.
 const PROBES_PER_REQUEST: f64 = 0.5;
 /// Probes that may be saved up; no unit.
@@ -92,6 +83,8 @@
 /// Least time between two log lines.
 const LOG_STEP: Duration = Duration::from_millis(2_000);
 
+/// Where the answers to an event go.
+type Out<'a> = &'a mut Vec<Action>;
 /// Why a timer was set.
 enum Alarm {
     Deadline(RequestId),
@@ -149,9 +142,9 @@
     asked: bool,
 }
 
+#[derive(Default)]
 struct Job {
     request: Request,
-    came: Duration,
     deadline: Duration,
     attempts: Vec<Attempt>,
     /// The reader that holds the state, and since when no attempt has wanted it.
@@ -247,29 +240,26 @@
             Event::ClientGone(id) => self.end(id, None, out),
             Event::Timer(timer) => self.on_timer(now, timer, out),
             Event::Probed { engine, outcome, report } => self.on_probed(now, engine, outcome, report, out),
-            // No place is ever asked for (the writer is picked when the read has ended), and
-            // routers decide alone.
+            // No place is ever asked for, as writers are picked when the read has ended; routers decide alone.
             Event::Place { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
     // ---- 1. Admit -------------------------------------------------------------------------
 
-    fn on_request(&mut self, now: Duration, request: Request, out: &mut Vec<Action>) {
+    fn on_request(&mut self, now: Duration, request: Request, out: Out) {
         let id = request.id;
         if self.jobs.contains_key(&id) || request.class.0 >= self.settings.classes.len() {
             out.push(Action::Fail(id));
             return;
         }
-        self.mean_prompt += PROMPT_WEIGHT * (request.prompt_tokens - self.mean_prompt);
+        self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(PROBE_BURST);
         let droppable = self.droppable(now, &request);
         let chance = refusal_chance(self.saturation(now), droppable);
         let refused = self.chance() < chance;
         let deadline = now + request.time_left.saturating_sub(self.settings.tick * ANSWER_TICKS);
-        let (attempts, held, may_have_run) = (Vec::new(), None, None);
-        let job =
-            Job { request, came: now, deadline, attempts, held, may_have_run, ended: false, parked: false };
+        let job = Job { request, deadline, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
             return self.give_up(id, out);
@@ -342,7 +332,7 @@
     // ---- 2. Read, 3. Write ------------------------------------------------------------------
 
     /// Takes the next step of a request that has no attempt out: writes a held state, else reads.
-    fn advance(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
+    fn advance(&mut self, now: Duration, id: RequestId, out: Out) {
         let Some(job) = self.jobs.get(&id) else { return };
         if job.ended || job.parked || job.attempts.iter().any(|a| a.out) {
             return;
@@ -376,8 +366,7 @@
         let writers_read = self.settings.writers_read;
         let mut pool = self.pool(now, job, |s| match s.role {
             Role::Read => left >= 2,
-            Role::Both => true,
-            Role::Write => writers_read,
+            role => role == Role::Both || writers_read,
         });
         pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
         pool.truncate(2);
@@ -400,9 +389,10 @@
         let nearest = pool.iter().map(distance).min();
         let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
         let (near, far) = (self.two_choices(near), self.two_choices(far));
-        let bears = |id: EngineId| self.servers[&id].tokens;
         match (near, far) {
-            (Some(n), Some(f)) if bears(n) > FAR_FACTOR * (bears(f) + own) => Some(f),
+            (Some(n), Some(f)) if self.servers[&n].tokens > FAR_FACTOR * (self.servers[&f].tokens + own) => {
+                far
+            }
             _ => near,
         }
     }
@@ -426,8 +416,7 @@
         let warm = |s: &&Server| !self.is_cold(now, s) || s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
         let all: Vec<&Server> =
             self.servers.values().filter(|s| s.ready() && role(s) && self.may_send(now, job, s)).collect();
-        let fit = |s: &&&Server| s.fit(now);
-        let mut pool: Vec<&Server> = all.iter().filter(fit).copied().collect();
+        let mut pool: Vec<&Server> = all.iter().filter(|s| s.fit(now)).copied().collect();
         if (pool.len() as f64) < PANIC_SHARE * all.len() as f64 {
             pool = all.iter().filter(|s| !s.unreachable()).copied().collect();
         }
@@ -435,16 +424,14 @@
             pool = all;
         }
         pool.retain(warm);
-        let fresh = |s: &&&Server| {
+        let fresh = |s: &&Server| {
             !job.attempts.iter().any(|a| a.engine == s.entry.id && (!a.read || job.held.is_none()))
                 && s.full_at.is_none_or(|at| now.saturating_sub(at) > FULL_REST)
         };
-        let preferred: Vec<EngineId> = pool.iter().filter(fresh).map(|s| s.entry.id).collect();
-        if preferred.is_empty() {
-            pool.iter().map(|s| s.entry.id).collect()
-        } else {
-            preferred
+        if pool.iter().any(&fresh) {
+            pool.retain(|s| fresh(s));
         }
+        pool.iter().map(|s| s.entry.id).collect()
     }
 
     /// Rule of effects: a keyed request that may have run goes only to the engines that drop its
@@ -471,7 +458,7 @@
         self.settings.classes[job.request.class.0].effect
     }
 
-    fn send(&mut self, now: Duration, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
+    fn send(&mut self, now: Duration, id: RequestId, engine: EngineId, out: Out) {
         let cold_rate =
             self.servers.get(&engine).filter(|s| self.is_cold(now, s)).map(|s| self.cold_rate(now, s));
         let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&engine)) else {
@@ -491,7 +478,8 @@
         server.out += 1;
         server.waiting += 1;
         server.on_trial = server.ejected.is_some();
-        server.note_rate(now, prompt);
+        server.rate = server.rate_now(now) + prompt / RATE_SPAN.as_secs_f64();
+        server.rate_at = now;
         if let Some(rate) = cold_rate {
             server.bucket = server.bucket_level(now, rate) - prompt;
             server.bucket_at = now;
@@ -511,12 +499,12 @@
     }
 
     /// Nothing is usable just now: wait a little, a held state never longer than part of its limit.
-    fn park(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
+    fn park(&mut self, now: Duration, id: RequestId, out: Out) {
         let patience = self.settings.let_go_within.mul_f64(HOLD_PART);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let waited = match job.held {
             Some((_, since)) => now.saturating_sub(since) + PARK_STEP >= patience,
-            None => now.saturating_sub(job.came) > job.request.time_left / 2,
+            None => now + job.request.time_left / 2 > job.deadline,
         };
         if waited || self.servers.is_empty() {
             return self.give_up(id, out);
@@ -527,9 +515,7 @@
 
     // ---- 4. Further attempts ------------------------------------------------------------------
 
-    fn on_first(
-        &mut self, now: Duration, which: (RequestId, usize), latency: Duration, out: &mut Vec<Action>,
-    ) {
+    fn on_first(&mut self, now: Duration, which: (RequestId, usize), latency: Duration, out: Out) {
         let Some(job) = self.jobs.get_mut(&which.0) else { return };
         let Some(a) = job.attempts.get_mut(which.1).filter(|a| a.out && a.begun.is_none()) else { return };
         a.begun = Some(latency);
@@ -539,10 +525,10 @@
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
         self.stop_waiting(engine, sent, prompt);
-        self.heard_well(now, engine, Some((latency, prompt)));
+        self.heard_well(now, engine, Some((latency, prompt)), out);
     }
 
-    fn on_ended(&mut self, now: Duration, ended: Ended, out: &mut Vec<Action>) {
+    fn on_ended(&mut self, now: Duration, ended: Ended, out: Out) {
         let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
@@ -560,15 +546,17 @@
             _ if !read => job.attempts.iter().rev().find(|a| a.read).map(|a| (a.engine, now)),
             _ => None,
         };
-        let over = job.ended;
+        let (over, mut failures) = (job.ended, 0);
         if let Some(server) = self.servers.get_mut(&engine) {
             server.out = server.out.saturating_sub(1);
             server.tokens = (server.tokens - tokens).max(0.0);
             server.on_trial = false;
-            if matches!(outcome, Outcome::Full { .. }) {
-                server.full_at = Some(now);
-                server.heard = now;
+            match outcome {
+                Outcome::Full { .. } => (server.full_at, server.heard) = (Some(now), now),
+                Outcome::Error | Outcome::Reset => server.failures += 1,
+                _ => {}
             }
+            failures = server.failures;
         }
         if begun.is_none() {
             self.stop_waiting(engine, sent, prompt);
@@ -578,14 +566,16 @@
             Outcome::Ok | Outcome::Read => {
                 if read {
                     let unread = 1.0 - (ended.kept_tokens / prompt.max(1.0)).clamp(0.0, 1.0);
-                    self.unread += PROMPT_WEIGHT * (unread - self.unread);
+                    self.unread += MEAN_WEIGHT * (unread - self.unread);
                 }
                 self.note_times(engine, begun.unwrap_or(latency), latency);
-                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, prompt)))
+                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, prompt)), out)
             }
             Outcome::ConnectFailed => self.eject(now, engine, Grade::Hard, "no connection", out),
-            Outcome::Error | Outcome::Reset => self.failed(now, engine, out),
-            Outcome::Full { .. } | Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
+            Outcome::Error | Outcome::Reset if failures >= EJECT_FAILURES => {
+                self.eject(now, engine, Grade::Soft, "failing", out)
+            }
+            _ => {}
         }
         if over {
             self.end(id, None, out);
@@ -598,7 +588,7 @@
     /// one that said nothing while sends are out is taken for unreachable, whatever the cause (a
     /// dead process, a cut link, a long stall). A read moves on, and so does a write that may run
     /// twice; an unsafe write is awaited. Harm: a stall shorter than the next word costs a read.
-    fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: &mut Vec<Action>) {
+    fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: Out) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
         let (engine, read) = (a.engine, a.read);
@@ -628,13 +618,10 @@
     // ---- 5. End, 6. Let go ------------------------------------------------------------------
 
     /// No further attempt: the final answer, at once.
-    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, out: Out) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
-        let harmless = match (job.may_have_run, self.effect(job)) {
-            (None, _) | (_, Effect::Safe) => true,
-            (Some(_), Effect::Keyed { group, .. }) => group == Group::All,
-            (Some(_), Effect::Unsafe) => false,
-        };
+        let harmless = job.may_have_run.is_none()
+            || matches!(self.effect(job), Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let answer = if harmless {
             let wait = RETRY_AFTER.mul_f64(0.5 + self.chance());
             let retry_after = self.settings.limits.retry_after.map(|most| wait.min(most));
@@ -647,7 +634,7 @@
 
     /// The one place where a request ends and what is held for it is let go. A read that is still
     /// out may yet leave a state behind: its outcome comes through here again.
-    fn end(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, answer: Option<Action>, out: Out) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.ended = true;
         out.extend(answer);
@@ -665,7 +652,7 @@
         }
     }
 
-    fn on_timer(&mut self, now: Duration, timer: TimerId, out: &mut Vec<Action>) {
+    fn on_timer(&mut self, now: Duration, timer: TimerId, out: Out) {
         match self.alarms.remove(&timer) {
             Some(Alarm::Deadline(id)) if self.jobs.get(&id).is_some_and(|j| !j.ended) => {
                 self.end(id, Some(Action::Fail(id)), out)
@@ -678,8 +665,7 @@
                 }
             }
             Some(Alarm::Trial(engine)) => {
-                let due =
-                    self.servers.get_mut(&engine).filter(|s| s.ready() && s.unreachable() && !s.probing);
+                let due = self.servers.get_mut(&engine).filter(|s| s.unreachable() && !s.probing);
                 match due {
                     Some(_) if self.settings.limits.probes => self.probe(engine, out),
                     Some(server) => (server.returned, server.ejected) = (Some(now), Some((now, Grade::Soft))),
@@ -695,7 +681,7 @@
     // ---- 7. Health ------------------------------------------------------------------------------
 
     /// An engine answered: it can be reached, and its latency is one more sample of its pace.
-    fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>) {
+    fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>, out: Out) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         server.failures = 0;
@@ -705,23 +691,23 @@
         let Some((latency, prompt)) = sample else { return };
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
         let means = &mut self.means[server.role as usize];
-        means.deviation += ROLE_WEIGHT * ((pace - means.pace).abs() - means.deviation);
-        means.pace += ROLE_WEIGHT * (pace - means.pace);
+        means.deviation += MEAN_WEIGHT * ((pace - means.pace).abs() - means.deviation);
+        means.pace += MEAN_WEIGHT * (pace - means.pace);
         let weight = if server.samples == 0 { 1.0 } else { PACE_WEIGHT };
         server.pace += weight * (pace - server.pace);
         server.samples += 1;
         let (role, pace, samples) = (server.role, server.pace, server.samples);
         let slow = self.median_pace(role).is_some_and(|median| pace > SLOW_FACTOR * median);
         if slow && samples >= SLOW_SAMPLES {
-            self.eject(now, engine, Grade::Soft, "slow against its peers", &mut Vec::new());
+            self.eject(now, engine, Grade::Soft, "slow against its peers", out);
         }
     }
 
     fn note_times(&mut self, engine: EngineId, waited: Duration, whole: Duration) {
         let Some(server) = self.servers.get(&engine) else { return };
         let means = &mut self.means[server.role as usize];
-        means.waited += ROLE_WEIGHT * (waited.as_secs_f64() - means.waited);
-        means.whole += ROLE_WEIGHT * (whole.as_secs_f64() - means.whole);
+        means.waited += MEAN_WEIGHT * (waited.as_secs_f64() - means.waited);
+        means.whole += MEAN_WEIGHT * (whole.as_secs_f64() - means.whole);
     }
 
     /// Seconds a token at the median engine of a role; `None` before any was heard.
@@ -732,28 +718,17 @@
         paces.get(paces.len() / 2).copied()
     }
 
-    fn failed(&mut self, now: Duration, engine: EngineId, out: &mut Vec<Action>) {
-        let Some(server) = self.servers.get_mut(&engine) else { return };
-        server.failures += 1;
-        if server.failures >= EJECT_FAILURES {
-            self.eject(now, engine, Grade::Soft, "failing", out);
-        }
-    }
-
     /// Outlier ejection with backoff. An unreachable engine is probed before its trial.
-    fn eject(&mut self, now: Duration, engine: EngineId, grade: Grade, why: &str, out: &mut Vec<Action>) {
+    fn eject(&mut self, now: Duration, engine: EngineId, grade: Grade, why: &str, out: Out) {
+        let jitter = 1.0 + 0.25 * self.chance();
         let Some(server) = self.servers.get_mut(&engine) else { return };
-        if let Some((until, old)) = server.ejected {
-            if now < until && (old == Grade::Hard || grade == Grade::Soft) {
-                return;
-            }
+        let out_already = |(until, old)| now < until && (old == Grade::Hard || grade == Grade::Soft);
+        if server.ejected.is_some_and(out_already) {
+            return;
         }
-        let length = EJECT_BASE * (1 << server.doublings);
+        let length = (EJECT_BASE * (1 << server.doublings)).mul_f64(jitter);
         server.doublings = (server.doublings + 1).min(EJECT_DOUBLINGS);
-        server.failures = 0;
-        server.samples = 0;
-        let length = length.mul_f64(1.0 + 0.25 * self.chance());
-        let server = self.servers.get_mut(&engine).expect("looked up above");
+        (server.failures, server.samples) = (0, 0);
         server.ejected = Some((now + length, grade));
         if grade == Grade::Hard {
             self.alarm(Alarm::Trial(engine), length, out);
@@ -767,18 +742,14 @@
     /// before the list says so, and what is sent while it comes up counts against it. Guards against
     /// a fleet that returns at once; harm: after a mere cut an engine gets its full share late.
     fn is_cold(&self, now: Duration, server: &Server) -> bool {
-        server.unreachable() || self.cold_since(server).is_some_and(|at| now < at + self.settings.cold_time)
-    }
-
-    fn cold_since(&self, server: &Server) -> Option<Duration> {
-        server.entry.started.max(server.returned)
+        server.cold_since(now).is_some_and(|at| now < at + self.settings.cold_time)
     }
 
     /// What a cold engine may be sent, tokens a second: the share that it can surely do of what warm
     /// engines of the role bear from this router. Every router does the same with its own part.
     fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
-        let since = self.cold_since(server).filter(|_| !server.unreachable()).unwrap_or(now);
-        let age = now.saturating_sub(since).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
+        let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
+            / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
         share * self.means[server.role as usize].borne.max(self.mean_prompt / RATE_SPAN.as_secs_f64())
     }
@@ -789,13 +760,13 @@
         if warm().count() > 0 {
             let mean = warm().map(|s| s.rate_now(now)).sum::<f64>() / warm().count() as f64;
             let borne = &mut self.means[role as usize].borne;
-            *borne += BORNE_WEIGHT * (mean - *borne);
+            *borne += MEAN_WEIGHT * (mean - *borne);
         }
     }
 
     // ---- 9. Lists and reports -----------------------------------------------------------------
 
-    fn on_list(&mut self, now: Duration, listing: Listing, engines: Vec<Engine>, out: &mut Vec<Action>) {
+    fn on_list(&mut self, now: Duration, listing: Listing, engines: Vec<Engine>, out: Out) {
         if listing == Listing::Failed {
             if self.settings.ask_for_engines {
                 let wait = LIST_RETRY.mul_f64(0.5 + self.chance());
@@ -813,35 +784,26 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            match self.servers.get_mut(&entry.id) {
-                Some(server) if server.entry.started == entry.started => server.entry = entry,
+            let server =
+                self.servers.entry(entry.id).or_insert_with(|| Server::new(now, entry.clone(), role));
+            if server.entry.started != entry.started {
                 // A restart: what was known of the engine is void, what is out there is not.
-                Some(server) => {
-                    let kept = (server.tokens, server.out, server.waiting);
-                    *server = Server::new(now, entry, role);
-                    (server.tokens, server.out, server.waiting) = kept;
-                }
-                None => {
-                    self.servers.insert(entry.id, Server::new(now, entry, role));
-                }
+                let Server { tokens, out, waiting, .. } = *server;
+                *server = Server { tokens, out, waiting, ..Server::new(now, entry.clone(), role) };
             }
+            server.entry = entry;
         }
     }
 
     fn take_report(&mut self, now: Duration, engine: EngineId, report: LoadReport) {
-        if report == LoadReport::default() {
-            return;
-        }
-        if let Some(server) = self.servers.get_mut(&engine) {
+        let told = report != LoadReport::default();
+        if let Some(server) = self.servers.get_mut(&engine).filter(|_| told) {
             server.report = Some((now, report));
             server.since = 0.0;
         }
     }
 
-    fn on_probed(
-        &mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_probed(&mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport, out: Out) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.probing = false;
         if outcome == Outcome::Ok {
@@ -856,14 +818,10 @@
         }
     }
 
-    fn on_probe_step(&mut self, now: Duration, out: &mut Vec<Action>) {
+    fn on_probe_step(&mut self, now: Duration, out: Out) {
         let age = |s: &Server| s.report.as_ref().map_or(Duration::MAX, |(at, _)| now.saturating_sub(*at));
-        let oldest = self
-            .servers
-            .values()
-            .filter(|s| s.ready() && !s.probing && !s.unreachable() && age(s) > PROBE_AGE)
-            .max_by_key(|s| age(s))
-            .map(|s| s.entry.id);
+        let due = |s: &&Server| s.ready() && !s.probing && !s.unreachable() && age(s) > PROBE_AGE;
+        let oldest = self.servers.values().filter(due).max_by_key(|s| age(s)).map(|s| s.entry.id);
         if let Some(engine) = oldest.filter(|_| self.probe_budget >= 1.0) {
             self.probe_budget -= 1.0;
             self.probe(engine, out);
@@ -872,7 +830,7 @@
         self.alarm(Alarm::Probe, wait, out);
     }
 
-    fn probe(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+    fn probe(&mut self, engine: EngineId, out: Out) {
         if let Some(server) = self.servers.get_mut(&engine) {
             server.probing = true;
             out.push(Action::Probe(engine));
@@ -889,7 +847,7 @@
         }
     }
 
-    fn alarm(&mut self, alarm: Alarm, after: Duration, out: &mut Vec<Action>) {
+    fn alarm(&mut self, alarm: Alarm, after: Duration, out: Out) {
         let timer = TimerId(self.next_timer);
         self.next_timer += 1;
         self.alarms.insert(timer, alarm);
@@ -901,7 +859,7 @@
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    fn log(&mut self, now: Duration, line: String, out: &mut Vec<Action>) {
+    fn log(&mut self, now: Duration, line: String, out: Out) {
         if self.logged.is_none_or(|at| now.saturating_sub(at) >= LOG_STEP) {
             self.logged = Some(now);
             out.push(Action::Log(line));
@@ -943,13 +901,16 @@
         matches!(self.ejected, Some((_, Grade::Hard)))
     }
 
-    fn rate_now(&self, now: Duration) -> f64 {
-        self.rate * (-now.saturating_sub(self.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
+    fn cold_since(&self, now: Duration) -> Option<Duration> {
+        if self.unreachable() {
+            Some(now)
+        } else {
+            self.entry.started.max(self.returned)
+        }
     }
 
-    fn note_rate(&mut self, now: Duration, tokens: f64) {
-        self.rate = self.rate_now(now) + tokens / RATE_SPAN.as_secs_f64();
-        self.rate_at = now;
+    fn rate_now(&self, now: Duration) -> f64 {
+        self.rate * (-now.saturating_sub(self.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
     }
 
     /// What the bucket of a cold engine holds at this rate.
