--- a/src/rules.rs
+++ b/src/rules.rs
@@ -437,13 +437,8 @@
     /// Rule of effects: a keyed request that may have run goes only to the engines that drop its
     /// repeats, while they remember it. Reads have no effect.
     fn may_send(&self, now: Duration, job: &Job, server: &Server) -> bool {
-        let (Some((at, first)), Effect::Keyed { group, window }) = (job.may_have_run, self.effect(job))
-        else {
-            return true;
-        };
-        if server.role == Role::Read {
-            return true;
-        }
+        let Effect::Keyed { group, window } = self.effect(job) else { return true };
+        let Some((at, first)) = job.may_have_run.filter(|_| server.role != Role::Read) else { return true };
         let same =
             |f: fn(&Engine) -> u32| self.servers.get(&first).map(|s| f(&s.entry)) == Some(f(&server.entry));
         now < at + window.saturating_sub(self.settings.tick * ANSWER_TICKS)
@@ -461,9 +456,8 @@
     fn send(&mut self, now: Duration, id: RequestId, engine: EngineId, out: Out) {
         let cold_rate =
             self.servers.get(&engine).filter(|s| self.is_cold(now, s)).map(|s| self.cold_rate(now, s));
-        let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&engine)) else {
-            return;
-        };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&engine) else { return };
         let prompt = job.request.prompt_tokens;
         let read = server.role == Role::Read;
         let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
@@ -902,11 +896,7 @@
     }
 
     fn cold_since(&self, now: Duration) -> Option<Duration> {
-        if self.unreachable() {
-            Some(now)
-        } else {
-            self.entry.started.max(self.returned)
-        }
+        self.unreachable().then_some(now).or(self.entry.started.max(self.returned))
     }
 
     fn rate_now(&self, now: Duration) -> f64 {
