--- a/src/rules.rs
+++ b/src/rules.rs
@@ -240,11 +240,16 @@
             Event::ClientGone(id) => self.end(id, None, out),
             Event::Timer(timer) => self.on_timer(now, timer, out),
             Event::Probed { engine, outcome, report } => self.on_probed(now, engine, outcome, report, out),
-            // No place is ever asked for, as writers are picked when the read has ended; routers decide alone.
+            // No place is ever asked for, as the writer is picked late; routers decide alone.
             Event::Place { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
+    /// How many requests, timers and engines are kept: a gauge for the host.
+    pub fn kept(&self) -> (usize, usize, usize) {
+        (self.jobs.len(), self.alarms.len(), self.servers.len())
+    }
+
     // ---- 1. Admit -------------------------------------------------------------------------
 
     fn on_request(&mut self, now: Duration, request: Request, out: Out) {
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,143 @@
+//! A site to test on: settings, engines and a host that carries the router's actions.
+#![allow(dead_code)]
+
+use slipreel::*;
+use std::time::Duration;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn class(worth: f64, aim: u64, effect: Effect) -> Class {
+    Class { aim: ms(aim), aim_per_1000: ms(40), worth, effect, streams: true }
+}
+
+/// Two classes, worth 3 (protected) and 1, both of one effect.
+pub fn settings(effect: Effect) -> Settings {
+    Settings {
+        routers: 1,
+        zone: ZoneId(0),
+        tick: ms(2),
+        classes: vec![class(3.0, 1000, effect), class(1.0, 2000, effect)],
+        tenants: vec![],
+        over_share_worth: 0.05,
+        kinds: vec![Role::Read, Role::Write, Role::Both],
+        writers_read: false,
+        ask_for_engines: false,
+        reports: ReportSource::Answers,
+        limits: Limits {
+            attempts: 4,
+            cancel: true,
+            probes: true,
+            second_copies: false,
+            retry_after: Some(ms(2000)),
+            connect_timeout: ms(250),
+        },
+        cold_share: 0.3,
+        cold_time: ms(10_000),
+        let_go_within: ms(500),
+    }
+}
+
+/// An engine of kind 0 (reader), 1 (writer) or 2 (mixed), long started, in the cell and zone given.
+pub fn engine(id: u64, kind: usize, cell: u32) -> Engine {
+    Engine {
+        id: EngineId(id),
+        kind: KindId(kind),
+        cell: CellId(cell),
+        zone: ZoneId(cell),
+        ..Engine::default()
+    }
+}
+
+pub fn request(id: u64, class: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        class: ClassId(class),
+        session: id,
+        shared_prefix: Some(5),
+        prompt_tokens: 1000.0,
+        max_output_tokens: 200.0,
+        time_left: ms(4000),
+        ..Request::default()
+    }
+}
+
+/// A router and its clock.
+pub struct Host {
+    pub router: Router,
+    pub now: Duration,
+}
+
+impl Host {
+    pub fn new(settings: Settings, seed: u64, engines: Vec<Engine>) -> Self {
+        let mut host = Host { router: Router::new(settings, seed), now: ms(100_000) };
+        host.list(Listing::Complete, engines);
+        host
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.router.handle(self.now, event, &mut out);
+        out
+    }
+
+    pub fn list(&mut self, listing: Listing, engines: Vec<Engine>) -> Vec<Action> {
+        self.tell(Event::Engines { listing, engines })
+    }
+
+    pub fn ask(&mut self, request: Request) -> Vec<Action> {
+        self.tell(Event::Request(request))
+    }
+
+    pub fn end(&mut self, id: u64, attempt: usize, outcome: Outcome) -> Vec<Action> {
+        self.end_with(id, attempt, outcome, LoadReport::default())
+    }
+
+    pub fn end_with(&mut self, id: u64, attempt: usize, outcome: Outcome, report: LoadReport) -> Vec<Action> {
+        let finished = outcome == Outcome::Ok;
+        self.tell(Event::Ended(Ended {
+            request: RequestId(id),
+            attempt,
+            outcome,
+            latency: ms(50),
+            finished,
+            kept_tokens: 0.0,
+            report,
+        }))
+    }
+
+    /// Lets an engine report its load by a probe.
+    pub fn report(&mut self, id: u64, waiting_tokens: f64) {
+        let report = LoadReport { waiting_tokens: Some(waiting_tokens), ..LoadReport::default() };
+        self.tell(Event::Probed { engine: EngineId(id), outcome: Outcome::Ok, report });
+    }
+}
+
+pub fn sent_to(actions: &[Action]) -> Option<u64> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { engine, .. } => Some(engine.0),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail(_)))
+}
+
+pub fn released(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Release(_)))
+}
+
+/// The timers set among the actions, with their times.
+pub fn timers(actions: &[Action]) -> Vec<(TimerId, Duration)> {
+    let timer = |a: &Action| match a {
+        Action::SetTimer { timer, after } => Some((*timer, *after)),
+        _ => None,
+    };
+    actions.iter().filter_map(timer).collect()
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,356 @@
+//! One small test for each decision and for each failure that was found.
+
+mod common;
+
+use common::*;
+use slipreel::*;
+
+/// Share of requests of a class that are refused at the door when every engine reports this saturation.
+fn refused_share(settings: &Settings, saturations: [f64; 2], class: usize) -> f64 {
+    let n = 2000;
+    let one = |seed| {
+        let mut host = Host::new(settings.clone(), seed, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        host.report(1, saturations[0] * 60_000.0);
+        host.report(2, saturations[1] * 60_000.0);
+        refused(&host.ask(request(1, class)))
+    };
+    (0..n).filter(|&seed| one(seed)).count() as f64 / n as f64
+}
+
+#[test]
+fn the_curve_has_the_figures_of_the_post() {
+    let s = settings(Effect::Safe);
+    let at = |saturation| refused_share(&s, [saturation; 2], 1);
+    assert!((0.002..0.02).contains(&at(0.12)), "{}", at(0.12));
+    assert!((0.25..0.34).contains(&at(0.25)), "{}", at(0.25));
+    assert_eq!(at(0.34), 1.0);
+}
+
+#[test]
+fn protected_requests_pass_until_all_droppable_are_refused() {
+    let s = settings(Effect::Safe);
+    assert_eq!(refused_share(&s, [0.31; 2], 0), 0.0);
+    // Beyond, the same curve holds for a part of the saturation: what is left can't carry them.
+    let beyond = refused_share(&s, [0.33; 2], 0);
+    assert!((0.2..0.6).contains(&beyond), "{beyond}");
+    assert_eq!(refused_share(&s, [0.5; 2], 0), 1.0);
+}
+
+#[test]
+fn idle_engines_of_one_stage_do_not_hide_full_ones_of_the_other() {
+    let s = settings(Effect::Safe);
+    assert_eq!(refused_share(&s, [0.0, 0.34], 1), 1.0);
+    assert_eq!(refused_share(&s, [0.34, 0.0], 1), 1.0);
+}
+
+#[test]
+fn of_equal_worths_the_loosest_aim_yields() {
+    let mut s = settings(Effect::Safe);
+    s.classes[0].worth = 1.0;
+    assert_eq!(refused_share(&s, [0.31; 2], 0), 0.0);
+    assert!(refused_share(&s, [0.31; 2], 1) > 0.7);
+}
+
+#[test]
+fn what_a_tenant_sends_over_its_share_is_droppable() {
+    let mut s = settings(Effect::Safe);
+    s.tenants = vec![Tenant { quota_per_s: Some(1.0) }];
+    let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    host.report(1, 0.0);
+    host.report(2, 19_400.0); // certain for droppable, one in nine for protected ones
+    let answers: Vec<bool> = (0..40).map(|id| refused(&host.ask(request(id, 0)))).collect();
+    assert!(!answers[0]);
+    assert!(answers[5..].iter().all(|&refused| refused));
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_again_where_clients_hear_it() {
+    for most in [None, Some(ms(300))] {
+        let mut s = settings(Effect::Safe);
+        s.limits.retry_after = most;
+        let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        host.report(2, 30_000.0);
+        let out = host.ask(request(1, 1));
+        assert!(out.contains(&Action::Refuse { request: RequestId(1), retry_after: most }), "{out:?}");
+    }
+}
+
+#[test]
+fn one_beginning_is_read_at_no_more_than_two_readers_from_all_routers() {
+    let mut homes = std::collections::BTreeSet::new();
+    for seed in 0..20 {
+        let engines = (1..=6).map(|id| engine(id, 0, 0)).chain([engine(9, 1, 0)]).collect();
+        let mut host = Host::new(settings(Effect::Safe), seed, engines);
+        homes.extend((0..10).filter_map(|id| sent_to(&host.ask(request(id, 0)))));
+    }
+    assert_eq!(homes.len(), 2);
+}
+
+#[test]
+fn the_writer_is_picked_when_the_read_has_ended_and_near_it() {
+    for seed in 0..20 {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 1), engine(4, 1, 1)];
+        let mut host = Host::new(settings(Effect::Safe), seed, engines);
+        assert_eq!(sent_to(&host.ask(request(1, 0))), Some(1));
+        assert_eq!(sent_to(&host.end(1, 0, Outcome::Read)), Some(2));
+    }
+}
+
+#[test]
+fn a_near_writer_that_bears_far_more_is_passed_over() {
+    let mut host =
+        Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 1)]);
+    let targets: Vec<_> = (0..8)
+        .filter_map(|id| {
+            host.ask(request(id, 0));
+            sent_to(&host.end(id, 0, Outcome::Read))
+        })
+        .collect();
+    assert_eq!(targets[..2], [2, 2]);
+    assert!(targets.contains(&3), "{targets:?}");
+}
+
+#[test]
+fn an_unsafe_write_that_may_have_run_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::TimedOut] {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 0)];
+        let mut host = Host::new(settings(Effect::Unsafe), 1, engines);
+        host.ask(request(1, 0));
+        host.end(1, 0, Outcome::Read);
+        let out = host.end(1, 1, outcome);
+        assert_eq!(sent_to(&out), None);
+        assert!(failed(&out) && released(&out) && !refused(&out), "{out:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_write_that_never_ran_is_sent_elsewhere() {
+    for outcome in [Outcome::ConnectFailed, Outcome::Full { no_state: false }] {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 0)];
+        let mut host = Host::new(settings(Effect::Unsafe), 1, engines);
+        host.ask(request(1, 0));
+        let first = sent_to(&host.end(1, 0, Outcome::Read)).unwrap();
+        assert_eq!(sent_to(&host.end(1, 1, outcome)), Some(5 - first));
+    }
+}
+
+#[test]
+fn a_keyed_write_goes_again_only_to_its_group_and_within_its_window() {
+    let keyed = |group| Effect::Keyed { group, window: ms(1000) };
+    let again = |group, wait| {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 1)];
+        let mut host = Host::new(settings(keyed(group)), 1, engines);
+        host.ask(request(1, 0));
+        assert_eq!(sent_to(&host.end(1, 0, Outcome::Read)), Some(2));
+        host.now += ms(wait);
+        sent_to(&host.end(1, 1, Outcome::Reset))
+    };
+    assert_eq!(again(Group::All, 10), Some(3));
+    assert_eq!(again(Group::Zone, 10), Some(2));
+    assert_eq!(again(Group::Cell, 10), Some(2));
+    assert_eq!(again(Group::All, 1000), None);
+}
+
+#[test]
+fn the_deadline_brings_one_answer_and_later_events_bring_none() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    let out = host.ask(request(1, 0));
+    let &(timer, after) = timers(&out).iter().max_by_key(|(_, after)| *after).unwrap();
+    assert!(after <= ms(4000) && after >= ms(3980));
+    host.now += after;
+    let out = host.tell(Event::Timer(timer));
+    assert!(failed(&out) && released(&out));
+    assert!(out.contains(&Action::Cancel { request: RequestId(1), attempt: 0 }));
+    // The read was done all the same: its state is let go, and nothing else happens.
+    let out = host.end(1, 0, Outcome::Read);
+    assert!(released(&out) && !failed(&out) && !refused(&out) && sent_to(&out).is_none());
+    assert_eq!(host.router.kept().0, 0);
+}
+
+#[test]
+fn a_client_that_leaves_while_its_state_waits_has_it_let_go() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    host.ask(request(1, 0));
+    assert!(released(&host.tell(Event::ClientGone(RequestId(1)))));
+    assert!(released(&host.end(1, 0, Outcome::Read)));
+}
+
+/// Found on nairobi-highlights: a writer cut off from the reader says that there is no state, and
+/// with one attempt left there was nothing to do but wait, while the state stayed pinned.
+#[test]
+fn state_that_could_not_be_fetched_is_let_go() {
+    for attempts in [3, 4] {
+        let mut s = settings(Effect::Safe);
+        s.limits.attempts = attempts;
+        let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        host.ask(request(1, 0));
+        host.end(1, 0, Outcome::Read);
+        let out = host.end(1, 1, Outcome::Full { no_state: true });
+        assert!(released(&out), "{out:?}");
+        assert_eq!(refused(&out), attempts == 3, "{out:?}");
+        assert_eq!(sent_to(&out).is_some(), attempts == 4, "{out:?}");
+    }
+}
+
+#[test]
+fn held_state_that_finds_no_writer_is_let_go_within_its_limit() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0)]);
+    host.ask(request(1, 0));
+    let (mut out, start) = (host.end(1, 0, Outcome::Read), host.now);
+    while !released(&out) {
+        let (timer, after) = timers(&out)[0];
+        host.now += after;
+        out = host.tell(Event::Timer(timer));
+    }
+    assert!(host.now - start <= ms(450), "{:?}", host.now - start);
+    assert!(refused(&out));
+}
+
+#[test]
+fn nothing_goes_to_an_engine_that_drains_or_is_gone() {
+    for state in [EngineState::Draining, EngineState::Gone] {
+        let mut host =
+            Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)]);
+        host.list(Listing::Changes, vec![Engine { state, ..engine(1, 0, 0) }]);
+        for id in 0..20 {
+            assert_eq!(sent_to(&host.ask(request(id, 0))), Some(2));
+        }
+    }
+}
+
+#[test]
+fn an_engine_absent_from_a_complete_list_is_gone_and_a_failed_call_changes_nothing() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    host.list(Listing::Failed, vec![]);
+    assert_eq!(sent_to(&host.ask(request(1, 0))), Some(1));
+    host.list(Listing::Complete, vec![engine(2, 1, 0)]);
+    assert_eq!(sent_to(&host.ask(request(2, 0))), None);
+}
+
+/// A cold engine gets its guessed part of what a warm peer bears, also when a backlog waits for it.
+#[test]
+fn a_cold_engine_is_not_pushed_over() {
+    let warm = |host: &mut Host, id: u64| {
+        let reader = sent_to(&host.ask(request(id, 0)));
+        host.end(id, 0, Outcome::Read);
+        host.end(id, 1, Outcome::Ok);
+        reader
+    };
+    let mut host =
+        Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)]);
+    let mut sends = [0; 2];
+    let mut id = 0;
+    for _ in 0..500 {
+        id += 1;
+        host.now += ms(20);
+        sends[warm(&mut host, id).unwrap() as usize - 1] += 1;
+    }
+    let borne = f64::from(sends[0].max(sends[1])) / 10.0;
+    let started = Some(host.now);
+    host.list(Listing::Changes, (1..=2).map(|id| Engine { started, ..engine(id, 0, 0) }).collect());
+    let mut cold = 0;
+    for _ in 0..100 {
+        id += 1;
+        host.now += ms(20);
+        let out = host.ask(request(id, 0));
+        cold += usize::from(sent_to(&out).is_some());
+    }
+    // Two seconds, two engines, at most 2.5 times the cold share of what one bore; and not nothing.
+    let most = 2.0 * 2.0 * 2.5 * 0.3 * borne;
+    assert!(cold > 0 && (cold as f64) < most, "{cold} of {most}");
+}
+
+/// Found on manila-assist: writers that had all restarted were pushed over before the list told of it.
+#[test]
+fn an_engine_back_from_where_it_could_not_be_reached_counts_as_cold() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    for id in 0..50 {
+        host.now += ms(100);
+        host.ask(request(id, 0));
+        host.end(id, 0, Outcome::Read);
+        host.end(id, 1, Outcome::Ok);
+    }
+    host.ask(request(90, 0));
+    host.end(90, 0, Outcome::ConnectFailed);
+    let back = Event::Probed { engine: EngineId(1), outcome: Outcome::Ok, report: LoadReport::default() };
+    host.now += ms(3000);
+    host.tell(back);
+    let sent = (100..200).filter(|&id| sent_to(&host.ask(request(id, 0))).is_some()).count();
+    assert!(sent <= 3, "{sent} at once to an engine that has just come back");
+}
+
+#[test]
+fn an_engine_that_says_nothing_is_asked_before_it_is_given_up() {
+    let mut host =
+        Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)]);
+    let mut out = host.ask(request(1, 0));
+    let silent = sent_to(&out).unwrap();
+    let mut probed = false;
+    while !out.contains(&Action::Cancel { request: RequestId(1), attempt: 0 }) {
+        let &(timer, after) = timers(&out).iter().min_by_key(|(_, after)| *after).unwrap();
+        host.now += after;
+        out = host.tell(Event::Timer(timer));
+        probed |= out.contains(&Action::Probe(EngineId(silent)));
+    }
+    assert!(probed);
+    assert_eq!(sent_to(&host.end(1, 0, Outcome::Cancelled)), Some(3 - silent));
+}
+
+/// Found on nairobi-highlights: a router that refuses all hears no answers, and full engines stay full
+/// in its eyes.
+#[test]
+fn old_reports_are_renewed_by_probes_that_requests_pay_for() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    let mut due = timers(&host.list(Listing::Changes, vec![]));
+    assert!(due.is_empty());
+    host.report(2, 60_000.0);
+    let mut host = Host { router: Router::new(settings(Effect::Safe), 1), now: ms(0) };
+    due.extend(timers(&host.list(Listing::Complete, vec![engine(1, 0, 0), engine(2, 1, 0)])));
+    let mut probes = 0;
+    for step in 0..100 {
+        host.now += ms(100);
+        let asked = host.ask(Request { time_left: ms(1), ..request(step, 1) });
+        let mut out = asked;
+        for (timer, _) in std::mem::take(&mut due) {
+            out.extend(host.tell(Event::Timer(timer)));
+        }
+        due.extend(timers(&out));
+        for action in &out {
+            if let Action::Probe(engine) = action {
+                probes += 1;
+                host.report(engine.0, 60_000.0);
+            }
+        }
+    }
+    assert!((10..=60).contains(&probes), "{probes}");
+}
+
+#[test]
+fn a_site_whose_list_must_be_asked_for_is_asked_again_after_a_failure() {
+    let mut s = settings(Effect::Safe);
+    s.ask_for_engines = true;
+    let mut host = Host { router: Router::new(s, 1), now: ms(0) };
+    let out = host.list(Listing::Cached, vec![]);
+    assert!(out.contains(&Action::WatchEngines(true)));
+    let out = host.list(Listing::Failed, vec![]);
+    let (timer, after) = timers(&out)[0];
+    host.now += after;
+    assert!(host.tell(Event::Timer(timer)).contains(&Action::WatchEngines(true)));
+}
+
+#[test]
+fn with_no_engines_at_all_the_answer_comes_at_once() {
+    let mut host = Host::new(settings(Effect::Unsafe), 1, vec![]);
+    assert!(refused(&host.ask(request(1, 0))));
+    assert_eq!(host.router.kept().0, 0);
+}
+
+#[test]
+fn a_mixed_engine_alone_serves_in_one_attempt() {
+    let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 2, 0)]);
+    assert_eq!(sent_to(&host.ask(request(1, 0))), Some(1));
+    let first = Event::FirstToken { request: RequestId(1), attempt: 0, latency: ms(80) };
+    assert!(!failed(&host.tell(first)));
+    host.end(1, 0, Outcome::Ok);
+    assert_eq!(host.router.kept().0, 0);
+}
