--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,7 +83,6 @@
 /// Least time between two log lines.
 const LOG_STEP: Duration = Duration::from_millis(2_000);
 
-/// Where the answers to an event go.
 type Out<'a> = &'a mut Vec<Action>;
 /// Why a timer was set.
 enum Alarm {
@@ -149,8 +148,8 @@
     attempts: Vec<Attempt>,
     /// The reader that holds the state, and since when no attempt has wanted it.
     held: Option<(EngineId, Duration)>,
-    /// When the first attempt that may have had an effect went out, and where to.
-    may_have_run: Option<(Duration, EngineId)>,
+    /// The first attempt that may have had an effect: which, when and where.
+    may_have_run: Option<(usize, Duration, EngineId)>,
     ended: bool,
     parked: bool,
 }
@@ -185,7 +184,6 @@
     mean_prompt: f64,
     /// Mean part of a prompt that its reader had not kept.
     unread: f64,
-    /// By role.
     means: [Means; 3],
     probe_budget: f64,
     logged: Option<Duration>,
@@ -443,7 +441,9 @@
     /// repeats, while they remember it. Reads have no effect.
     fn may_send(&self, now: Duration, job: &Job, server: &Server) -> bool {
         let Effect::Keyed { group, window } = self.effect(job) else { return true };
-        let Some((at, first)) = job.may_have_run.filter(|_| server.role != Role::Read) else { return true };
+        let Some((_, at, first)) = job.may_have_run.filter(|_| server.role != Role::Read) else {
+            return true;
+        };
         let same =
             |f: fn(&Engine) -> u32| self.servers.get(&first).map(|s| f(&s.entry)) == Some(f(&server.entry));
         now < at + window.saturating_sub(self.settings.tick * ANSWER_TICKS)
@@ -469,7 +469,7 @@
         job.held = None;
         job.attempts.push(Attempt { engine, sent: now, tokens, read, out: true, begun: None, asked: false });
         if !read && job.may_have_run.is_none() {
-            job.may_have_run = Some((now, engine));
+            job.may_have_run = Some((job.attempts.len() - 1, now, engine));
         }
         let attempt = job.attempts.len() - 1;
         server.tokens += tokens;
@@ -535,7 +535,7 @@
         let Attempt { engine, sent, begun, read, tokens, .. } = *a;
         let prompt = job.request.prompt_tokens;
         job.ended |= ended.finished;
-        if outcome.proves_not_run() && job.may_have_run == Some((sent, engine)) {
+        if outcome.proves_not_run() && job.may_have_run.is_some_and(|(first, ..)| first == ended.attempt) {
             job.may_have_run = None;
         }
         job.held = match outcome {
@@ -836,8 +836,6 @@
         }
     }
 
-    // ---- Small parts ------------------------------------------------------------------------------
-
     fn stop_waiting(&mut self, engine: EngineId, sent: Duration, prompt: f64) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.waiting = server.waiting.saturating_sub(1);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -134,6 +134,21 @@
     }
 }
 
+/// Found by the random sequences: a repeat to the same engine within one tick, proven not to have run,
+/// wiped out that the attempt before it may have.
+#[test]
+fn proof_for_a_later_attempt_says_nothing_of_an_earlier_one() {
+    let keyed = Effect::Keyed { group: Group::Cell, window: ms(1000) };
+    let mut host = Host::new(settings(keyed), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    host.ask(request(1, 0));
+    host.end(1, 0, Outcome::Read);
+    assert_eq!(sent_to(&host.end(1, 1, Outcome::Reset)), Some(2));
+    host.now += ms(10);
+    assert_eq!(sent_to(&host.end(1, 2, Outcome::Full { no_state: false })), Some(2));
+    let out = host.end(1, 3, Outcome::Full { no_state: false });
+    assert!(failed(&out) && !refused(&out), "{out:?}");
+}
+
 #[test]
 fn a_keyed_write_goes_again_only_to_its_group_and_within_its_window() {
     let keyed = |group| Effect::Keyed { group, window: ms(1000) };
--- /dev/null
+++ b/tests/rules_hold.rs
@@ -0,0 +1,330 @@
+//! Long legal sequences of events, drawn by seed, after which the five rules must hold by the actions
+//! alone. It models no server and no load: outcomes are drawn, whatever was sent.
+
+mod common;
+
+use common::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SLACK: Duration = Duration::from_millis(16);
+
+struct Out {
+    engine: u64,
+    sent: Duration,
+    read: bool,
+    begun: bool,
+}
+
+struct Open {
+    deadline: Duration,
+    class: usize,
+    answered: bool,
+    closed: bool,
+    attempts: usize,
+    out: BTreeMap<usize, Out>,
+    /// Every earlier attempt that may have had an effect: when and where.
+    ran: Vec<(Duration, u64)>,
+    held: Option<Duration>,
+}
+
+struct World {
+    rng: Xoshiro256PlusPlus,
+    host: Host,
+    settings: Settings,
+    engines: BTreeMap<u64, Engine>,
+    timers: Vec<(Duration, TimerId)>,
+    open: BTreeMap<u64, Open>,
+    next: u64,
+    sends: usize,
+}
+
+impl World {
+    fn new(settings: Settings, seed: u64) -> Self {
+        let kinds = [0, 0, 0, 1, 1, 1, 2];
+        let engines: BTreeMap<u64, Engine> =
+            (1..=7).map(|id| (id, engine(id, kinds[id as usize - 1], id as u32 % 2))).collect();
+        let host = Host { router: Router::new(settings.clone(), seed), now: ms(50_000) };
+        let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let (timers, open) = (Vec::new(), BTreeMap::new());
+        let mut world = World { rng, host, settings, engines, timers, open, next: 0, sends: 0 };
+        world.complete_list();
+        world
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.rng.next_u64() % n
+    }
+
+    fn complete_list(&mut self) {
+        let engines = self.engines.values().cloned().collect();
+        let actions = self.host.list(Listing::Cached, engines);
+        self.take(actions);
+    }
+
+    /// Checks what the router has asked for against what it may ask for.
+    fn take(&mut self, actions: Vec<Action>) {
+        let now = self.host.now;
+        for action in actions {
+            match action {
+                Action::Send { request, engine, .. } => self.check_send(request.0, engine.0),
+                Action::Refuse { request, .. } => {
+                    let harmless = {
+                        let open = &self.open[&request.0];
+                        open.ran.is_empty()
+                            || matches!(
+                                self.settings.classes[open.class].effect,
+                                Effect::Safe | Effect::Keyed { group: Group::All, .. }
+                            )
+                    };
+                    assert!(harmless, "a refusal after {request:?} may have run");
+                    self.answer(request.0);
+                }
+                Action::Fail(request) => self.answer(request.0),
+                Action::Release(request) => {
+                    let open = self.open.get_mut(&request.0).expect("a request that was given");
+                    open.held = None;
+                }
+                Action::Cancel { request, attempt } => {
+                    assert!(attempt < self.open[&request.0].attempts, "an attempt never made");
+                }
+                Action::SetTimer { timer, after } => self.timers.push((now + after, timer)),
+                Action::Probe(engine) => assert!(engine.0 <= 7),
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, id: u64) {
+        let now = self.host.now;
+        let open = self.open.get_mut(&id).expect("a request that was given");
+        assert!(!open.answered && !open.closed, "a second answer to {id}");
+        assert!(now <= open.deadline + SLACK, "an answer after the deadline");
+        open.answered = true;
+    }
+
+    fn check_send(&mut self, id: u64, engine: u64) {
+        let now = self.host.now;
+        let target = self.engines.get(&engine).expect("an engine of the list");
+        assert_eq!(target.state, EngineState::Ready, "a send to an engine that drains or is gone");
+        let open = self.open.get_mut(&id).expect("a request that was given");
+        assert!(!open.answered && !open.closed, "a send for a request that has ended");
+        assert!(open.out.is_empty(), "two attempts out at once");
+        assert!(open.attempts < self.settings.limits.attempts, "too many attempts");
+        let read = self.settings.kinds[target.kind.0] == Role::Read;
+        if let (false, Some(&(at, first))) = (read, open.ran.first()) {
+            match self.settings.classes[open.class].effect {
+                Effect::Safe => {}
+                Effect::Unsafe => panic!("an unsafe request that may have run is sent again"),
+                Effect::Keyed { group, window } => {
+                    assert!(now < at + window, "a keyed request sent again after its window");
+                    let first = &self.engines[&first];
+                    assert!(match group {
+                        Group::All => true,
+                        Group::Zone => first.zone == target.zone,
+                        Group::Cell => first.cell == target.cell,
+                    });
+                }
+            }
+        }
+        open.out.insert(open.attempts, Out { engine, sent: now, read, begun: false });
+        open.attempts += 1;
+        open.held = None;
+        self.sends += 1;
+    }
+
+    fn ask(&mut self) {
+        self.next += 1;
+        let class = self.below(self.settings.classes.len() as u64) as usize;
+        let time_left = ms(200 + self.below(3000));
+        let prompt_tokens = [0.0, 300.0, 2_000.0, 60_000.0][self.below(4) as usize];
+        let deadline = self.host.now + time_left;
+        let (out, ran) = (BTreeMap::new(), Vec::new());
+        let open =
+            Open { deadline, class, answered: false, closed: false, attempts: 0, out, ran, held: None };
+        self.open.insert(self.next, open);
+        let request = Request { time_left, prompt_tokens, ..request(self.next, class) };
+        let actions = self.host.ask(request);
+        self.take(actions);
+    }
+
+    /// Ends, begins or leaves alone one attempt that is out.
+    fn happen(&mut self, id: u64) {
+        let Some((&attempt, out)) = self.open[&id].out.iter().next() else { return };
+        let (engine, sent, read, begun) = (out.engine, out.sent, out.read, out.begun);
+        let draw = self.below(12);
+        let now = self.host.now;
+        if !read && !begun && draw < 5 && !self.open[&id].answered {
+            let open = self.open.get_mut(&id).unwrap();
+            open.out.get_mut(&attempt).unwrap().begun = true;
+            (open.closed, open.held) = (true, None);
+            let latency = now - sent;
+            let actions = self.host.tell(Event::FirstToken { request: RequestId(id), attempt, latency });
+            return self.take(actions);
+        }
+        let outcome = match draw {
+            _ if begun => [Outcome::Ok, Outcome::Reset][usize::from(draw == 0)],
+            0..=5 if read => Outcome::Read,
+            0..=5 => Outcome::Ok,
+            6 => Outcome::Error,
+            7 => Outcome::Full { no_state: !read && self.below(2) == 0 },
+            8 => Outcome::TimedOut,
+            9 => Outcome::ConnectFailed,
+            10 => Outcome::Reset,
+            _ => Outcome::Cancelled,
+        };
+        let open = self.open.get_mut(&id).unwrap();
+        open.out.remove(&attempt);
+        if outcome == Outcome::Read || (!read && !begun && outcome != Outcome::Ok) {
+            open.held = Some(now);
+        }
+        if !read && !outcome.proves_not_run() {
+            open.ran.push((sent, engine));
+        }
+        open.closed |= begun || outcome == Outcome::Ok;
+        let actions = self.host.tell(Event::Ended(Ended {
+            request: RequestId(id),
+            attempt,
+            outcome,
+            latency: now - sent,
+            finished: open.closed || open.answered,
+            kept_tokens: f64::from(draw as u32) * 100.0,
+            report: LoadReport {
+                waiting_tokens: Some(draw as f64 * 500.0),
+                memory_share: Some(0.3),
+                ..LoadReport::default()
+            },
+        }));
+        self.take(actions);
+    }
+
+    fn change_list(&mut self) {
+        let id = 1 + self.below(7);
+        let draw = self.below(9);
+        let entry = self.engines.get_mut(&id).unwrap();
+        (entry.state, entry.started) = match draw {
+            0 => (EngineState::Draining, entry.started),
+            1 => (EngineState::Gone, entry.started),
+            2 => (EngineState::Ready, Some(self.host.now)),
+            _ => (EngineState::Ready, entry.started),
+        };
+        let engines = vec![entry.clone()];
+        let actions = self.host.list(Listing::Changes, engines);
+        self.take(actions);
+    }
+
+    fn step(&mut self) {
+        self.host.now += self.settings.tick;
+        let now = self.host.now;
+        let set = std::mem::take(&mut self.timers);
+        let (due, later): (Vec<_>, Vec<_>) = set.into_iter().partition(|(at, _)| *at <= now);
+        self.timers = later;
+        for (_, timer) in due {
+            let actions = self.host.tell(Event::Timer(timer));
+            self.take(actions);
+        }
+        match self.below(40) {
+            0..=3 => self.ask(),
+            4 => self.change_list(),
+            5 => {
+                let actions = self.host.tell(Event::Timer(TimerId(u64::MAX)));
+                assert!(actions.is_empty());
+            }
+            6 => {
+                let engine = EngineId(1 + self.below(7));
+                let outcome = [Outcome::Ok, Outcome::ConnectFailed][self.below(2) as usize];
+                let report = LoadReport::default();
+                let actions = self.host.tell(Event::Probed { engine, outcome, report });
+                self.take(actions);
+            }
+            7 => {
+                let waiting = self.open.iter().find(|(_, o)| !o.answered && !o.closed).map(|(id, _)| *id);
+                if let Some(id) = waiting {
+                    self.open.get_mut(&id).unwrap().closed = true;
+                    let actions = self.host.tell(Event::ClientGone(RequestId(id)));
+                    self.take(actions);
+                }
+            }
+            _ => {
+                let ids: Vec<u64> =
+                    self.open.iter().filter(|(_, o)| !o.out.is_empty()).map(|(id, _)| *id).collect();
+                if !ids.is_empty() {
+                    let at = self.below(ids.len() as u64) as usize;
+                    self.happen(ids[at]);
+                }
+            }
+        }
+        for (id, open) in &self.open {
+            let ended = open.answered || open.closed;
+            assert!(ended || now <= open.deadline + SLACK, "request {id} is lost");
+            let pinned = open.held.filter(|_| open.out.is_empty());
+            let limit = self.settings.let_go_within;
+            assert!(pinned.is_none_or(|since| now - since <= limit), "state of {id} is pinned");
+        }
+        self.open.retain(|_, o| !(o.out.is_empty() && o.held.is_none() && (o.answered || o.closed)));
+    }
+
+    /// The instance is killed and comes back with nothing but the list.
+    fn restart(&mut self, seed: u64) {
+        self.host.router = Router::new(self.settings.clone(), seed);
+        self.timers.clear();
+        self.open.clear();
+        self.complete_list();
+    }
+}
+
+fn mixed_effects() -> Settings {
+    let keyed = |group| Effect::Keyed { group, window: ms(700) };
+    let mut s = settings(Effect::Safe);
+    s.classes = [Effect::Safe, Effect::Unsafe, keyed(Group::All), keyed(Group::Zone), keyed(Group::Cell)]
+        .into_iter()
+        .map(|effect| class(1.0, 800, effect))
+        .collect();
+    s
+}
+
+#[test]
+fn the_rules_hold_over_long_random_sequences() {
+    for seed in 0..12 {
+        let mut s = mixed_effects();
+        s.limits.cancel = seed % 3 != 0;
+        s.limits.probes = seed % 4 != 0;
+        s.limits.attempts = 2 + seed as usize % 4;
+        let mut world = World::new(s, seed);
+        for step in 0..20_000u64 {
+            world.step();
+            if step % 6_000 == 5_999 {
+                world.restart(seed + step);
+            }
+        }
+        assert!(world.sends > 400, "the sequences must exercise the sends: {}", world.sends);
+    }
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let play = || {
+        let mut world = World::new(mixed_effects(), 5);
+        (0..3_000).for_each(|_| world.step());
+        (world.sends, world.next, world.timers)
+    };
+    assert_eq!(play(), play());
+}
+
+/// Ended requests, fired timers and engines that have gone leave nothing behind.
+#[test]
+fn what_is_kept_stays_bounded() {
+    let mut world = World::new(mixed_effects(), 9);
+    let mut most = (0, 0, 0);
+    for step in 0..60_000 {
+        world.step();
+        if step > 10_000 {
+            let kept = world.host.router.kept();
+            most = (most.0.max(kept.0), most.1.max(kept.1), most.2.max(kept.2));
+        }
+    }
+    assert!(most.0 < 200 && most.1 < 1_000 && most.2 <= 7, "{most:?} after {} requests", world.next);
+}
