--- a/src/rules.rs
+++ b/src/rules.rs
@@ -372,8 +372,9 @@
             role => role == Role::Both || writers_read,
         });
         pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
-        pool.truncate(2);
-        self.least_tokens(&pool)
+        let others = pool.split_off(pool.len().min(2));
+        let own = job.request.prompt_tokens;
+        self.spill(self.least_tokens(&pool), self.least_tokens(&others), own)
     }
 
     /// Power of two choices: two writers at random, the one with fewer own tokens under way. Exception:
@@ -392,12 +393,15 @@
         let nearest = pool.iter().map(distance).min();
         let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
         let (near, far) = (self.two_choices(near), self.two_choices(far));
-        match (near, far) {
-            (Some(n), Some(f)) if self.servers[&n].tokens > FAR_FACTOR * (self.servers[&f].tokens + own) => {
-                far
-            }
-            _ => near,
-        }
+        self.spill(near, far, own)
+    }
+
+    /// The preferred engine, unless the other bears so much less that waiting costs more than going there.
+    fn spill(&self, near: Option<EngineId>, far: Option<EngineId>, own: f64) -> Option<EngineId> {
+        let far = far.filter(|f| {
+            near.is_none_or(|n| self.servers[&n].tokens > FAR_FACTOR * (self.servers[f].tokens + own))
+        });
+        far.or(near)
     }
 
     fn two_choices(&mut self, mut pool: Vec<EngineId>) -> Option<EngineId> {
@@ -563,12 +567,13 @@
         self.take_report(now, engine, ended.report);
         match outcome {
             Outcome::Ok | Outcome::Read => {
+                let mut tokens = prompt;
                 if read {
-                    let unread = 1.0 - (ended.kept_tokens / prompt.max(1.0)).clamp(0.0, 1.0);
-                    self.unread += MEAN_WEIGHT * (unread - self.unread);
+                    tokens = (prompt - ended.kept_tokens).max(0.0);
+                    self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
                 }
                 self.note_times(engine, begun.unwrap_or(latency), latency);
-                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, prompt)), out)
+                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, tokens)), out)
             }
             Outcome::ConnectFailed => self.eject(now, engine, Grade::Hard, "no connection", out),
             Outcome::Error | Outcome::Reset if failures >= EJECT_FAILURES => {
