--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
 /// Retry time told with a refusal, jittered by half. The time a saturated engine's queue drains in.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Own tokens at a near writer against those at a far one above which the far one is taken; no unit.
+/// Own tokens at the preferred engine against those at another above which that one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
 /// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
@@ -362,7 +362,7 @@
     }
 
     /// Rendezvous hashing of the shared beginning, else the session: of the top two usable readers
-    /// the one with fewer own tokens under way. A mixed engine reads and answers in one attempt, so
+    /// the one with fewer own tokens under way; others only as spill from a hot beginning. A mixed engine reads and answers in one attempt, so
     /// it needs only one; a reader needs another for the write.
     fn pick_reader(&self, now: Duration, job: &Job, left: usize) -> Option<EngineId> {
         let key = job.request.shared_prefix.unwrap_or(job.request.session);
@@ -398,10 +398,8 @@
 
     /// The preferred engine, unless the other bears so much less that waiting costs more than going there.
     fn spill(&self, near: Option<EngineId>, far: Option<EngineId>, own: f64) -> Option<EngineId> {
-        let far = far.filter(|f| {
-            near.is_none_or(|n| self.servers[&n].tokens > FAR_FACTOR * (self.servers[f].tokens + own))
-        });
-        far.or(near)
+        let bears = |id: EngineId| self.servers[&id].tokens;
+        far.filter(|&f| near.is_none_or(|n| bears(n) > FAR_FACTOR * (bears(f) + own))).or(near)
     }
 
     fn two_choices(&mut self, mut pool: Vec<EngineId>) -> Option<EngineId> {
