--- a/src/rules.rs
+++ b/src/rules.rs
@@ -362,8 +362,8 @@
     }
 
     /// Rendezvous hashing of the shared beginning, else the session: of the top two usable readers
-    /// the one with fewer own tokens under way; others only as spill from a hot beginning. A mixed engine reads and answers in one attempt, so
-    /// it needs only one; a reader needs another for the write.
+    /// the one with fewer own tokens under way; others only as spill from a hot beginning. A mixed
+    /// engine needs one attempt for both stages; after a reader another is needed for the write.
     fn pick_reader(&self, now: Duration, job: &Job, left: usize) -> Option<EngineId> {
         let key = job.request.shared_prefix.unwrap_or(job.request.session);
         let writers_read = self.settings.writers_read;
