--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 const PROBE_AGE: Duration = Duration::from_millis(600);
 /// Wait before a failed call to the list of engines is made again; jittered by half.
 const LIST_RETRY: Duration = Duration::from_millis(1_000);
+/// No wait is longer, whatever a request claims: hosts' timers have an end.
+const LONGEST: Duration = Duration::from_secs(3_600);
 /// Least time between two log lines.
 const LOG_STEP: Duration = Duration::from_millis(2_000);
 
@@ -261,7 +263,7 @@
         let droppable = self.droppable(now, &request);
         let chance = refusal_chance(self.saturation(now), droppable);
         let refused = self.chance() < chance;
-        let deadline = now + request.time_left.saturating_sub(self.settings.tick * ANSWER_TICKS);
+        let deadline = now + request.time_left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
         let job = Job { request, deadline, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
@@ -373,8 +375,7 @@
         });
         pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
         let others = pool.split_off(pool.len().min(2));
-        let own = job.request.prompt_tokens;
-        self.spill(self.least_tokens(&pool), self.least_tokens(&others), own)
+        self.spill(self.least_tokens(&pool), self.least_tokens(&others), job.request.prompt_tokens)
     }
 
     /// Power of two choices: two writers at random, the one with fewer own tokens under way. Exception:
@@ -448,7 +449,7 @@
         };
         let same =
             |f: fn(&Engine) -> u32| self.servers.get(&first).map(|s| f(&s.entry)) == Some(f(&server.entry));
-        now < at + window.saturating_sub(self.settings.tick * ANSWER_TICKS)
+        now < at.saturating_add(window).saturating_sub(self.settings.tick * ANSWER_TICKS)
             && match group {
                 Group::All => true,
                 Group::Zone => same(|e| e.zone.0),
@@ -496,7 +497,7 @@
     fn patience(&self, engine: EngineId, prompt: f64) -> Duration {
         let role = self.servers.get(&engine).map_or(Role::Both, |s| s.role);
         let pace = self.means[role as usize].pace + PATIENCE_DEVIATIONS * self.means[role as usize].deviation;
-        MIN_PATIENCE.max(Duration::from_secs_f64(pace * (prompt + FIXED_TOKENS)))
+        MIN_PATIENCE.max(Duration::from_secs_f64((pace * (prompt + FIXED_TOKENS)).min(LONGEST.as_secs_f64())))
     }
 
     /// Nothing is usable just now: wait a little, a held state never longer than part of its limit.
@@ -744,7 +745,7 @@
     /// before the list says so, and what is sent while it comes up counts against it. Guards against
     /// a fleet that returns at once; harm: after a mere cut an engine gets its full share late.
     fn is_cold(&self, now: Duration, server: &Server) -> bool {
-        server.cold_since(now).is_some_and(|at| now < at + self.settings.cold_time)
+        server.cold_since(now).is_some_and(|at| now < at.saturating_add(self.settings.cold_time))
     }
 
     /// What a cold engine may be sent, tokens a second: the share that it can surely do of what warm
@@ -854,7 +855,6 @@
         out.push(Action::SetTimer { timer, after });
     }
 
-    /// A number from 0 to 1, 1 excluded.
     fn chance(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -403,3 +403,14 @@
     }
     assert!(!out.iter().any(|a| matches!(a, Action::Log(line) if line.contains("slow"))), "{out:?}");
 }
+
+#[test]
+fn absurd_lengths_and_times_do_no_harm() {
+    let started = Some(std::time::Duration::MAX);
+    let engines = vec![Engine { started, ..engine(1, 0, 0) }, engine(2, 0, 0), engine(3, 1, 0)];
+    let mut host = Host::new(settings(Effect::Safe), 1, engines);
+    let time_left = std::time::Duration::MAX;
+    let out = host.ask(Request { time_left, prompt_tokens: f64::MAX, ..request(1, 0) });
+    assert!(timers(&out).iter().all(|(_, after)| *after <= ms(3_600_000)), "{out:?}");
+    assert!(sent_to(&out).is_some());
+}
