--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -264,9 +264,9 @@
     let started = Some(host.now);
     host.list(Listing::Changes, (1..=2).map(|id| Engine { started, ..engine(id, 0, 0) }).collect());
     let mut cold = 0;
-    for _ in 0..100 {
+    for step in 0..1000 {
         id += 1;
-        host.now += ms(20);
+        host.now += ms(u64::from(step % 10 == 0) * 20);
         let out = host.ask(request(id, 0));
         cold += usize::from(sent_to(&out).is_some());
     }
