--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,7 +60,7 @@
 const EJECT_FAILURES: u32 = 3;
 /// Share of a role's engines under which soft ejections are set aside (panic threshold); no unit.
 const PANIC_SHARE: f64 = 0.5;
-/// Pace against the role's median at which an engine is an outlier; no unit. Home texts differ by up to three.
+/// Pace against the role's median at which an engine is an outlier; no unit. Texts alone bring up to three.
 const SLOW_FACTOR: f64 = 5.0;
 /// Samples before a pace is judged; no unit. Fewer are chance.
 const SLOW_SAMPLES: u32 = 5;
