Ties fall by chance or session, and choices weigh reported load

Cause: at under one request a second a router's own tokens are nearly always 0, so every router took the first engine of a pair. Writers are now drawn in random order, homes ordered by the session, and the reported load counts beside own tokens.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -298,12 +298,17 @@
     /// Mean saturation of the ready engines; one that was not heard of lately takes the mean. Exception
     /// to the post: of the two stages the fuller one counts, as idle engines of the other would hide it.
     fn saturation(&self, now: Duration) -> f64 {
-        let stage = |other: Role| {
-            let engines = self.servers.values().filter(|s| s.ready() && s.role != other);
-            let values: Vec<f64> = engines.filter_map(|s| self.load(now, s)).collect();
-            values.iter().sum::<f64>() / values.len().max(1) as f64
-        };
-        stage(Role::Read).max(stage(Role::Write))
+        self.stage(now, Role::Read).max(self.stage(now, Role::Write))
+    }
+
+    /// Mean saturation of the engines that do the work of this role.
+    fn stage(&self, now: Duration, role: Role) -> f64 {
+        let does = |s: &&Server| s.ready() && (s.role == role || s.role == Role::Both || role == Role::Both);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for load in self.servers.values().filter(does).filter_map(|s| self.load(now, s)) {
+            (sum, count) = (sum + load, count + 1.0);
+        }
+        sum / f64::max(count, 1.0)
     }
 
     /// Saturation of one engine, if it is known.
@@ -375,7 +380,9 @@
         });
         pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
         let others = pool.split_off(pool.len().min(2));
-        self.spill(self.least_tokens(&pool), self.least_tokens(&others), job.request.prompt_tokens)
+        let session = job.request.session;
+        pool.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
+        self.spill(now, self.least(now, &pool), self.least(now, &others), job.request.prompt_tokens)
     }
 
     /// Power of two choices: two writers at random, the one with fewer own tokens under way. Exception:
@@ -393,26 +400,34 @@
         };
         let nearest = pool.iter().map(distance).min();
         let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
-        let (near, far) = (self.two_choices(near), self.two_choices(far));
-        self.spill(near, far, own)
+        let (near, far) = (self.two_choices(now, near), self.two_choices(now, far));
+        self.spill(now, near, far, own)
     }
 
     /// The preferred engine, unless the other bears so much less that waiting costs more than going there.
-    fn spill(&self, near: Option<EngineId>, far: Option<EngineId>, own: f64) -> Option<EngineId> {
-        let bears = |id: EngineId| self.servers[&id].tokens;
+    fn spill(&self, now: Duration, near: Option<EngineId>, far: Option<EngineId>, own: f64) -> Option<EngineId> {
+        let bears = |id: EngineId| self.bears(now, &self.servers[&id]);
         far.filter(|&f| near.is_none_or(|n| bears(n) > FAR_FACTOR * (bears(f) + own))).or(near)
     }
 
-    fn two_choices(&mut self, mut pool: Vec<EngineId>) -> Option<EngineId> {
-        while pool.len() > 2 {
+    fn two_choices(&mut self, now: Duration, mut pool: Vec<EngineId>) -> Option<EngineId> {
+        let mut pair = Vec::new();
+        while pair.len() < 2 && !pool.is_empty() {
             let at = (self.chance() * pool.len() as f64) as usize;
-            pool.swap_remove(at);
+            pair.push(pool.swap_remove(at));
         }
-        self.least_tokens(&pool)
+        self.least(now, &pair)
+    }
+
+    fn least(&self, now: Duration, pool: &[EngineId]) -> Option<EngineId> {
+        let bears = |id: &EngineId| self.bears(now, &self.servers[id]);
+        pool.iter().copied().min_by(|a, b| bears(a).total_cmp(&bears(b)))
     }
 
-    fn least_tokens(&self, pool: &[EngineId]) -> Option<EngineId> {
-        pool.iter().copied().min_by(|a, b| self.servers[a].tokens.total_cmp(&self.servers[b].tokens))
+    /// What an engine bears, in tokens: as it reports, else as its stage's mean, and our own under way.
+    fn bears(&self, now: Duration, server: &Server) -> f64 {
+        let load = self.load(now, server).unwrap_or_else(|| self.stage(now, server.role));
+        load * WAITING_THRESHOLD + server.tokens
     }
 
     /// The usable engines for this request's next attempt. Those it has tried, and those that just
