--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,8 +44,6 @@
 const FIRST_PACE: f64 = 0.000_3;
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
-/// Weight of one sample in an engine's pace; no unit. About the last seven.
-const PACE_WEIGHT: f64 = 0.15;
 /// How often work that found no usable engine looks again.
 const PARK_STEP: Duration = Duration::from_millis(25);
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
@@ -60,24 +58,16 @@
 const EJECT_FAILURES: u32 = 3;
 /// Share of a role's engines under which soft ejections are set aside (panic threshold); no unit.
 const PANIC_SHARE: f64 = 0.5;
-/// Pace against the role's median at which an engine is an outlier; no unit. Texts alone bring up to three.
-const SLOW_FACTOR: f64 = 5.0;
-/// Samples before a pace is judged; no unit. Fewer are chance.
-const SLOW_SAMPLES: u32 = 5;
 /// Time after a `full` in which the engine is passed over where others are usable. A few services.
 const FULL_REST: Duration = Duration::from_millis(250);
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
 /// Time whose budget a cold engine's token bucket may save up. Well under any span of the rule.
 const COLD_BURST: Duration = Duration::from_millis(500);
-/// Probes that one own request pays for; no unit. Half a probe a request costs little anywhere.
-const PROBES_PER_REQUEST: f64 = 0.5;
-/// Probes that may be saved up; no unit.
-const PROBE_BURST: f64 = 4.0;
-/// Mean time between two looks at which report is oldest; jittered by half.
-const PROBE_STEP: Duration = Duration::from_millis(100);
-/// Age under which a report needs no probe.
-const PROBE_AGE: Duration = Duration::from_millis(600);
+/// Age from which an engine's report is asked for anew before it is chosen by. A refresh period or so.
+const FRESH: Duration = Duration::from_millis(300);
+/// Longest wait for the answers of the engines asked. A round trip with a new connection, no more.
+const ASK_WAIT: Duration = Duration::from_millis(30);
 /// Wait before a failed call to the list of engines is made again; jittered by half.
 const LIST_RETRY: Duration = Duration::from_millis(1_000);
 /// No wait is longer, whatever a request claims: hosts' timers have an end.
@@ -92,7 +82,6 @@
     Check(RequestId, usize),
     Parked(RequestId),
     Trial(EngineId),
-    Probe,
     List,
 }
 
@@ -122,14 +111,14 @@
     doublings: u32,
     on_trial: bool,
     full_at: Option<Duration>,
-    pace: f64,
-    samples: u32,
     /// Own rate sent, tokens a second, as of `rate_at`; the bucket of a cold engine.
     rate: f64,
     rate_at: Duration,
     bucket: f64,
     bucket_at: Duration,
     probing: bool,
+    /// The requests that wait for its answer to a probe.
+    askers: Vec<RequestId>,
 }
 
 struct Attempt {
@@ -153,7 +142,17 @@
     /// The first attempt that may have had an effect: which, when and where.
     may_have_run: Option<(usize, Duration, EngineId)>,
     ended: bool,
-    parked: bool,
+    /// Until when it waits: for an engine, or for the answers of those in `choice`.
+    parked: Option<Duration>,
+    choice: Option<Choice>,
+}
+
+/// The engines between which a request chooses its next step: preferred ones and others.
+struct Choice {
+    step: usize,
+    asked: Duration,
+    near: Vec<EngineId>,
+    far: Vec<EngineId>,
 }
 
 /// Means over the engines of one role, as this router sees them.
@@ -187,7 +186,6 @@
     /// Mean part of a prompt that its reader had not kept.
     unread: f64,
     means: [Means; 3],
-    probe_budget: f64,
     logged: Option<Duration>,
 }
 
@@ -213,7 +211,6 @@
             mean_prompt: FIRST_PROMPT,
             unread: 1.0,
             means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
-            probe_budget: 1.0,
             logged: None,
             settings,
         }
@@ -226,9 +223,6 @@
             if self.settings.ask_for_engines {
                 out.push(Action::WatchEngines(true));
             }
-            if self.settings.reports != ReportSource::None && self.settings.limits.probes {
-                self.alarm(Alarm::Probe, PROBE_STEP, out);
-            }
         }
         match event {
             Event::Engines { listing, engines } => self.on_list(now, listing, engines, out),
@@ -259,7 +253,6 @@
             return;
         }
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
-        self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(PROBE_BURST);
         let droppable = self.droppable(now, &request);
         let chance = refusal_chance(self.saturation(now), droppable);
         let refused = self.chance() < chance;
@@ -267,6 +260,7 @@
         let job = Job { request, deadline, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
+            self.ask_anyone(now, out);
             return self.give_up(id, out);
         }
         self.alarm(Alarm::Deadline(id), deadline - now, out);
@@ -344,7 +338,7 @@
     /// Takes the next step of a request that has no attempt out: writes a held state, else reads.
     fn advance(&mut self, now: Duration, id: RequestId, out: Out) {
         let Some(job) = self.jobs.get(&id) else { return };
-        if job.ended || job.parked || job.attempts.iter().any(|a| a.out) {
+        if job.ended || job.parked.is_some() || job.attempts.iter().any(|a| a.out) {
             return;
         }
         let left = self.settings.limits.attempts.saturating_sub(job.attempts.len());
@@ -353,10 +347,13 @@
             return self.give_up(id, out);
         }
         let (held, again) = (job.held.is_some(), !job.attempts.is_empty());
-        let target = match job.held {
-            Some(_) => self.pick_writer(now, id),
-            None => self.pick_reader(now, job, left),
-        };
+        if job.choice.as_ref().is_none_or(|c| c.step != job.attempts.len()) {
+            let choice = if held { self.writers(now, id) } else { self.readers(now, id, left) };
+            if self.ask(now, id, choice, out) {
+                return;
+            }
+        }
+        let target = self.choose(now, id);
         // State that could not be fetched may still wait where the writer could not reach it.
         if !held && again {
             out.push(Action::Release(id));
@@ -368,29 +365,28 @@
         }
     }
 
-    /// Rendezvous hashing of the shared beginning, else the session: of the top two usable readers
-    /// the one with fewer own tokens under way; others only as spill from a hot beginning. A mixed
-    /// engine needs one attempt for both stages; after a reader another is needed for the write.
-    fn pick_reader(&self, now: Duration, job: &Job, left: usize) -> Option<EngineId> {
-        let key = job.request.shared_prefix.unwrap_or(job.request.session);
-        let writers_read = self.settings.writers_read;
-        let mut pool = self.pool(now, job, |s| match s.role {
+    /// Rendezvous hashing of the shared beginning, else the session: the top two usable readers, in the
+    /// order of the session; others only as spill from a hot beginning. A mixed engine needs one
+    /// attempt for both stages; after a reader another is needed for the write.
+    fn readers(&mut self, now: Duration, id: RequestId, left: usize) -> (Vec<EngineId>, Vec<EngineId>) {
+        let Some(job) = self.jobs.get(&id) else { return Default::default() };
+        let (session, writers_read) = (job.request.session, self.settings.writers_read);
+        let key = job.request.shared_prefix.unwrap_or(session);
+        let mut homes = self.pool(now, job, |s| match s.role {
             Role::Read => left >= 2,
             role => role == Role::Both || writers_read,
         });
-        pool.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
-        let others = pool.split_off(pool.len().min(2));
-        let session = job.request.session;
-        pool.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
-        self.spill(now, self.least(now, &pool), self.least(now, &others), job.request.prompt_tokens)
+        homes.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
+        let mut others = homes.split_off(homes.len().min(2));
+        homes.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
+        others.truncate(2);
+        (homes, others)
     }
 
-    /// Power of two choices: two writers at random, the one with fewer own tokens under way. Exception:
-    /// moving state far is slow and priced, so a pair of the reader's cell (else its zone) comes first,
-    /// unless a pair of the others bears so much less that waiting near costs more than the move.
-    fn pick_writer(&mut self, now: Duration, id: RequestId) -> Option<EngineId> {
-        let job = self.jobs.get(&id)?;
-        let own = job.request.prompt_tokens + job.request.max_output_tokens;
+    /// Power of two choices: two writers at random. Exception: moving state far is slow and priced, so a
+    /// pair of the reader's cell (else its zone) comes first, others only as spill.
+    fn writers(&mut self, now: Duration, id: RequestId) -> (Vec<EngineId>, Vec<EngineId>) {
+        let Some(job) = self.jobs.get(&id) else { return Default::default() };
         let reader = job.held.and_then(|(reader, _)| self.servers.get(&reader));
         let (cell, zone) = reader.map(|s| (s.entry.cell, s.entry.zone)).unzip();
         let pool = self.pool(now, job, |s| s.role != Role::Read);
@@ -400,28 +396,77 @@
         };
         let nearest = pool.iter().map(distance).min();
         let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
-        let (near, far) = (self.two_choices(now, near), self.two_choices(now, far));
-        self.spill(now, near, far, own)
+        (self.two_of(near), self.two_of(far))
     }
 
-    /// The preferred engine, unless the other bears so much less that waiting costs more than going there.
-    fn spill(&self, now: Duration, near: Option<EngineId>, far: Option<EngineId>, own: f64) -> Option<EngineId> {
-        let bears = |id: EngineId| self.bears(now, &self.servers[&id]);
-        far.filter(|&f| near.is_none_or(|n| bears(n) > FAR_FACTOR * (bears(f) + own))).or(near)
-    }
-
-    fn two_choices(&mut self, now: Duration, mut pool: Vec<EngineId>) -> Option<EngineId> {
+    fn two_of(&mut self, mut pool: Vec<EngineId>) -> Vec<EngineId> {
         let mut pair = Vec::new();
         while pair.len() < 2 && !pool.is_empty() {
             let at = (self.chance() * pool.len() as f64) as usize;
             pair.push(pool.swap_remove(at));
         }
-        self.least(now, &pair)
+        pair
+    }
+
+    /// Keeps what the request chooses from and asks those whose reports are old, so that the choice
+    /// goes by fresh load though this router rarely meets an engine. Whether there is one to wait for.
+    fn ask(
+        &mut self, now: Duration, id: RequestId, (near, far): (Vec<EngineId>, Vec<EngineId>), out: Out,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let mut waits = false;
+        if near.len() + far.len() > 1
+            && self.settings.limits.probes
+            && self.settings.reports != ReportSource::None
+        {
+            for engine in near.iter().chain(&far) {
+                let Some(server) = self.servers.get_mut(engine).filter(|s| !s.fresh(now)) else { continue };
+                waits = true;
+                server.askers.push(id);
+                if !std::mem::replace(&mut server.probing, true) {
+                    out.push(Action::Probe(*engine));
+                }
+            }
+        }
+        job.choice = Some(Choice { step: job.attempts.len(), asked: now, near, far });
+        if waits {
+            job.parked = Some(now + ASK_WAIT);
+            self.alarm(Alarm::Parked(id), ASK_WAIT, out);
+        }
+        waits
     }
 
-    fn least(&self, now: Duration, pool: &[EngineId]) -> Option<EngineId> {
-        let bears = |id: &EngineId| self.bears(now, &self.servers[id]);
-        pool.iter().copied().min_by(|a, b| bears(a).total_cmp(&bears(b)))
+    /// A refused request asks too, as a router that refuses all would hear nothing any more.
+    fn ask_anyone(&mut self, now: Duration, out: Out) {
+        if self.settings.limits.probes && self.settings.reports != ReportSource::None {
+            let old = |s: &&Server| s.ready() && !s.unreachable() && !s.probing && !s.fresh(now);
+            let pool = self.servers.values().filter(old).map(|s| s.entry.id).collect();
+            self.two_of(pool).into_iter().for_each(|engine| self.probe(engine, out));
+        }
+    }
+
+    /// The preferred engine that bears least, unless another bears so much less that waiting costs more
+    /// than going there. Of those asked, one that has not answered comes last: it is busy, cut off, dead
+    /// or has no connection yet, and all of these cost more than a few tokens.
+    fn choose(&self, now: Duration, id: RequestId) -> Option<EngineId> {
+        let job = self.jobs.get(&id)?;
+        let choice = job.choice.as_ref()?;
+        let own = job.request.prompt_tokens;
+        let bears = |id: &EngineId| {
+            let server = self.servers.get(id).filter(|s| s.ready())?;
+            Some((server.heard + FRESH < choice.asked, self.bears(now, server)))
+        };
+        let least = |pool: &[EngineId]| {
+            let known = pool.iter().filter_map(|id| Some((*id, bears(id)?)));
+            known.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+        };
+        let (near, far) = (least(&choice.near), least(&choice.far));
+        let spills = |far: (bool, f64)| {
+            near.is_none_or(|(_, near)| {
+                near.0 && !far.0 || near.0 == far.0 && near.1 > FAR_FACTOR * (far.1 + own)
+            })
+        };
+        far.filter(|(_, far)| spills(*far)).or(near).map(|(id, _)| id)
     }
 
     /// What an engine bears, in tokens: as it reports, else as its stage's mean, and our own under way.
@@ -526,7 +571,7 @@
         if waited || self.servers.is_empty() {
             return self.give_up(id, out);
         }
-        job.parked = true;
+        (job.parked, job.choice) = (Some(now + PARK_STEP), None);
         self.alarm(Alarm::Parked(id), PARK_STEP, out);
     }
 
@@ -542,7 +587,7 @@
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
         self.stop_waiting(engine, sent, prompt);
-        self.heard_well(now, engine, Some((latency, prompt)), out);
+        self.heard_well(now, engine, Some((latency, prompt)));
     }
 
     fn on_ended(&mut self, now: Duration, ended: Ended, out: Out) {
@@ -587,7 +632,7 @@
                     self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
                 }
                 self.note_times(engine, begun.unwrap_or(latency), latency);
-                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, tokens)), out)
+                self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, tokens)))
             }
             Outcome::ConnectFailed => self.eject(now, engine, Grade::Hard, "no connection", out),
             Outcome::Error | Outcome::Reset if failures >= EJECT_FAILURES => {
@@ -677,8 +722,10 @@
             }
             Some(Alarm::Check(id, attempt)) => self.on_check(now, id, attempt, out),
             Some(Alarm::Parked(id)) => {
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.parked = false;
+                if let Some(job) =
+                    self.jobs.get_mut(&id).filter(|j| j.parked.is_some_and(|until| now >= until))
+                {
+                    job.parked = None;
                     self.advance(now, id, out);
                 }
             }
@@ -690,7 +737,6 @@
                     None => {}
                 }
             }
-            Some(Alarm::Probe) => self.on_probe_step(now, out),
             Some(Alarm::List) => out.push(Action::WatchEngines(true)),
             Some(Alarm::Deadline(_)) | None => {}
         }
@@ -699,7 +745,7 @@
     // ---- 7. Health ------------------------------------------------------------------------------
 
     /// An engine answered: it can be reached, and its latency is one more sample of its pace.
-    fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>, out: Out) {
+    fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         server.failures = 0;
@@ -711,14 +757,6 @@
         let means = &mut self.means[server.role as usize];
         means.deviation += MEAN_WEIGHT * ((pace - means.pace).abs() - means.deviation);
         means.pace += MEAN_WEIGHT * (pace - means.pace);
-        let weight = if server.samples == 0 { 1.0 } else { PACE_WEIGHT };
-        server.pace += weight * (pace - server.pace);
-        server.samples += 1;
-        let (role, pace, samples) = (server.role, server.pace, server.samples);
-        let slow = self.median_pace(role).is_some_and(|median| pace > SLOW_FACTOR * median);
-        if slow && samples >= SLOW_SAMPLES {
-            self.eject(now, engine, Grade::Soft, "slow against its peers", out);
-        }
     }
 
     fn note_times(&mut self, engine: EngineId, waited: Duration, whole: Duration) {
@@ -728,14 +766,6 @@
         means.whole += MEAN_WEIGHT * (whole.as_secs_f64() - means.whole);
     }
 
-    /// Seconds a token at the median engine of a role; `None` before any was heard.
-    fn median_pace(&self, role: Role) -> Option<f64> {
-        let mut paces: Vec<f64> =
-            self.servers.values().filter(|s| s.role == role && s.samples > 0).map(|s| s.pace).collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied()
-    }
-
     /// Outlier ejection with backoff. An unreachable engine is probed before its trial.
     fn eject(&mut self, now: Duration, engine: EngineId, grade: Grade, why: &str, out: Out) {
         let jitter = 1.0 + 0.25 * self.chance();
@@ -746,7 +776,7 @@
         }
         let length = (EJECT_BASE * (1 << server.doublings)).mul_f64(jitter);
         server.doublings = (server.doublings + 1).min(EJECT_DOUBLINGS);
-        (server.failures, server.samples) = (0, 0);
+        server.failures = 0;
         server.ejected = Some((now + length, grade));
         if grade == Grade::Hard {
             self.alarm(Alarm::Trial(engine), length, out);
@@ -824,6 +854,7 @@
     fn on_probed(&mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport, out: Out) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.probing = false;
+        let askers = std::mem::take(&mut server.askers);
         if outcome == Outcome::Ok {
             server.heard = now;
             if let Some((until, Grade::Hard)) = server.ejected {
@@ -834,18 +865,16 @@
         } else if server.unreachable() {
             self.eject(now, engine, Grade::Hard, "no answer to a probe", out);
         }
-    }
-
-    fn on_probe_step(&mut self, now: Duration, out: Out) {
-        let age = |s: &Server| s.report.as_ref().map_or(Duration::MAX, |(at, _)| now.saturating_sub(*at));
-        let due = |s: &&Server| s.ready() && !s.probing && !s.unreachable() && age(s) > PROBE_AGE;
-        let oldest = self.servers.values().filter(due).max_by_key(|s| age(s)).map(|s| s.entry.id);
-        if let Some(engine) = oldest.filter(|_| self.probe_budget >= 1.0) {
-            self.probe_budget -= 1.0;
-            self.probe(engine, out);
+        for id in askers {
+            let servers = &self.servers;
+            let open = |id: &EngineId| servers.get(id).is_some_and(|s| s.probing);
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let Some(choice) = job.choice.as_ref().filter(|c| c.step == job.attempts.len()) else { continue };
+            if job.parked.is_some() && !choice.near.iter().chain(&choice.far).any(open) {
+                job.parked = None;
+                self.advance(now, id, out);
+            }
         }
-        let wait = PROBE_STEP.mul_f64(0.5 + self.chance());
-        self.alarm(Alarm::Probe, wait, out);
     }
 
     fn probe(&mut self, engine: EngineId, out: Out) {
@@ -912,6 +941,11 @@
         }
     }
 
+    /// Whether its load was told a moment ago.
+    fn fresh(&self, now: Duration) -> bool {
+        self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) < FRESH)
+    }
+
     fn unreachable(&self) -> bool {
         matches!(self.ejected, Some((_, Grade::Hard)))
     }
