Quota bucket six deep; repeats that clients mark draw nothing

Cause: one deep, a bucket of 0.4 requests a second takes every second chance arrival for over share, and a client's retries spent its tenant's share.

--- a/src/bin/slipreel-adapter/wire.rs
+++ b/src/bin/slipreel-adapter/wire.rs
@@ -282,7 +282,7 @@
     let tenant = TenantId(usize::from(f.u16()?));
     let prompt_tokens = f.f32()?.unwrap_or(0.0);
     let class = ClassId(usize::from(f.u16()?));
-    f.u8()?; // flags
+    let repeat = f.u8()? & 2 != 0;
     f.f32()?; // length of the shared beginning
     let session = f.u64()?;
     let max_output_tokens = f.f32()?.unwrap_or(0.0);
@@ -298,6 +298,7 @@
         prompt_tokens,
         max_output_tokens,
         time_left,
+        repeat,
     }))
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,8 @@
     pub max_output_tokens: f64,
     /// How long until the client gives up.
     pub time_left: Duration,
+    /// Whether the client says that it has asked before.
+    pub repeat: bool,
 }
 
 /// How an attempt or a probe ended.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,8 @@
 const WAITING_PRIOR: f64 = 8.0;
 /// How long a tenant may save up its unused quota. Evens out chance arrivals.
 const QUOTA_SPAN: Duration = Duration::from_millis(2_000);
+/// Requests that a tenant's bucket holds at least; no unit. Fewer take chance arrivals for too many.
+const QUOTA_DEPTH: f64 = 6.0;
 /// Retry time told with a refusal, jittered by half. The time a saturated engine's queue drains in.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Own tokens at the preferred engine against those at another above which that one is taken; no unit.
@@ -197,7 +199,7 @@
         let equal = worths().all(|w| w >= top_worth);
         let aims = || settings.classes.iter().map(|c| c.aim);
         let loose_aim = aims().max().filter(|&loose| equal && aims().any(|a| a < loose));
-        let quotas = settings.tenants.iter().map(|_| (1.0, Duration::ZERO)).collect();
+        let quotas = settings.tenants.iter().map(|_| (QUOTA_DEPTH, Duration::ZERO)).collect();
         Router {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             servers: BTreeMap::new(),
@@ -270,22 +272,23 @@
     /// Whether the curve may refuse this request: it is worth less than the best, by its class or
     /// because its tenant is over its share; where all are worth the same, the loosest aim yields.
     fn droppable(&mut self, now: Duration, request: &Request) -> bool {
-        let over = self.over_share(now, request.tenant);
+        let over = self.over_share(now, request);
         let class = &self.settings.classes[request.class.0];
         let worth = class.worth * if over { self.settings.over_share_worth } else { 1.0 };
         worth < self.top_worth || self.loose_aim == Some(class.aim)
     }
 
     /// Token bucket of a tenant's quota, this router's part of it.
-    fn over_share(&mut self, now: Duration, tenant: TenantId) -> bool {
-        let quota = self.settings.tenants.get(tenant.0).and_then(|t| t.quota_per_s);
-        let (Some(quota), Some((level, at))) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
+    fn over_share(&mut self, now: Duration, request: &Request) -> bool {
+        let tenant = request.tenant.0;
+        let quota = self.settings.tenants.get(tenant).and_then(|t| t.quota_per_s);
+        let (Some(quota), Some((level, at))) = (quota, self.quotas.get_mut(tenant)) else { return false };
         let rate = quota / f64::from(self.settings.routers);
-        let room = (rate * QUOTA_SPAN.as_secs_f64()).max(1.0);
+        let room = (rate * QUOTA_SPAN.as_secs_f64()).max(QUOTA_DEPTH);
         *level = (*level + rate * now.saturating_sub(*at).as_secs_f64()).min(room);
         *at = now;
         let over = *level < 1.0;
-        *level -= if over { 0.0 } else { 1.0 };
+        *level -= if over || request.repeat { 0.0 } else { 1.0 };
         over
     }
 
