Cold budgets are parts of the fleet's and start at a chance phase; hopeless requests are refused

The floor of the budget is now one prompt a second for all routers, and a bucket starts short by a chance part of a prompt.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,6 +64,8 @@
 const FULL_REST: Duration = Duration::from_millis(250);
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
+/// Time in which all routers together may send a cold engine one prompt where nothing is known of warm ones.
+const COLD_STEP: Duration = Duration::from_millis(1_000);
 /// Time whose budget a cold engine's token bucket may save up. Well under any span of the rule.
 const COLD_BURST: Duration = Duration::from_millis(500);
 /// Age from which an engine's report is asked for anew before it is chosen by. A refresh period or so.
@@ -257,7 +259,7 @@
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         let droppable = self.droppable(now, &request);
         let chance = refusal_chance(self.saturation(now), droppable);
-        let refused = self.chance() < chance;
+        let refused = self.hopeless(&request) || self.chance() < chance;
         let deadline = now + request.time_left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
         let job = Job { request, deadline, ..Job::default() };
         self.jobs.insert(id, job);
@@ -269,6 +271,19 @@
         self.advance(now, id, out);
     }
 
+    /// Whether its client will have left before an answer usually begins. Guards against impatient clients
+    /// whose abandoned tries eat the capacity that would serve them; harm: after a jam good requests are
+    /// turned away, so each one turned away lets the means forget a little.
+    fn hopeless(&mut self, request: &Request) -> bool {
+        let stages = [Role::Read as usize, Role::Write as usize];
+        let usual: f64 = stages.iter().map(|&stage| self.means[stage].waited).sum();
+        let hopeless = request.time_left.as_secs_f64() < usual;
+        if hopeless {
+            stages.iter().for_each(|&stage| self.means[stage].waited *= 1.0 - MEAN_WEIGHT);
+        }
+        hopeless
+    }
+
     /// Whether the curve may refuse this request: it is worth less than the best, by its class or
     /// because its tenant is over its share; where all are worth the same, the loosest aim yields.
     fn droppable(&mut self, now: Duration, request: &Request) -> bool {
@@ -733,10 +748,14 @@
                 }
             }
             Some(Alarm::Trial(engine)) => {
+                let phase = self.first_send();
                 let due = self.servers.get_mut(&engine).filter(|s| s.unreachable() && !s.probing);
                 match due {
                     Some(_) if self.settings.limits.probes => self.probe(engine, out),
-                    Some(server) => (server.returned, server.ejected) = (Some(now), Some((now, Grade::Soft))),
+                    Some(server) => {
+                        server.ejected = Some((now, Grade::Soft));
+                        server.back(now, phase);
+                    }
                     None => {}
                 }
             }
@@ -749,10 +768,13 @@
 
     /// An engine answered: it can be reached, and its latency is one more sample of its pace.
     fn heard_well(&mut self, now: Duration, engine: EngineId, sample: Option<(Duration, f64)>) {
+        let phase = self.first_send();
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         server.failures = 0;
-        server.returned = if server.unreachable() { Some(now) } else { server.returned };
+        if server.unreachable() {
+            server.back(now, phase);
+        }
         server.doublings = server.doublings.saturating_sub(1);
         server.ejected = server.ejected.filter(|&(until, grade)| grade == Grade::Soft && now < until);
         let Some((latency, prompt)) = sample else { return };
@@ -802,7 +824,14 @@
         let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
             / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
-        share * self.means[server.role as usize].borne.max(self.mean_prompt / RATE_SPAN.as_secs_f64())
+        let least = self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
+        share * self.means[server.role as usize].borne.max(least)
+    }
+
+    /// What the bucket of an engine that turns cold lacks: a chance part of a prompt. All routers hear of it
+    /// at once, and hundreds of first sends at the same moment would push it over.
+    fn first_send(&mut self) -> f64 {
+        self.chance() * self.mean_prompt
     }
 
     /// What a warm engine of each role bears: a slow mean, so that it outlives an outage.
@@ -835,12 +864,13 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let server =
-                self.servers.entry(entry.id).or_insert_with(|| Server::new(now, entry.clone(), role));
+            let phase = self.first_send();
+            let fresh = || Server { bucket: -phase, ..Server::new(now, entry.clone(), role) };
+            let server = self.servers.entry(entry.id).or_insert_with(fresh);
             if server.entry.started != entry.started {
                 // A restart: what was known of the engine is void, what is out there is not.
                 let Server { tokens, out, waiting, .. } = *server;
-                *server = Server { tokens, out, waiting, ..Server::new(now, entry.clone(), role) };
+                *server = Server { tokens, out, waiting, ..fresh() };
             }
             server.entry = entry;
         }
@@ -855,14 +885,15 @@
     }
 
     fn on_probed(&mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport, out: Out) {
+        let phase = self.first_send();
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.probing = false;
         let askers = std::mem::take(&mut server.askers);
         if outcome == Outcome::Ok {
             server.heard = now;
             if let Some((until, Grade::Hard)) = server.ejected {
-                server.returned = Some(now);
                 server.ejected = Some((until.min(now), Grade::Soft));
+                server.back(now, phase);
             }
             self.take_report(now, engine, report);
         } else if server.unreachable() {
@@ -957,6 +988,12 @@
         self.unreachable().then_some(now).or(self.entry.started.max(self.returned))
     }
 
+    /// Reached again after it could not be: it counts as cold from now.
+    fn back(&mut self, now: Duration, phase: f64) {
+        self.returned = Some(now);
+        (self.bucket, self.bucket_at) = (-phase, now);
+    }
+
     fn rate_now(&self, now: Duration) -> f64 {
         self.rate * (-now.saturating_sub(self.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
     }
