Full is remembered by engine and class; silence ejects softly; choices by waiting tokens plus memory

Causes: an engine that throttles one class said full to every router again and again; a busy engine whose deep probe timed out was taken for dead and then for cold; a writer with full memory hid its queue behind the larger of the two parts.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,6 +62,8 @@
 const PANIC_SHARE: f64 = 0.5;
 /// Time after a `full` in which the engine is passed over where others are usable. A few services.
 const FULL_REST: Duration = Duration::from_millis(250);
+/// The same where the engine reports room: it turns away what this class sends, and goes on doing so.
+const THROTTLE_REST: Duration = Duration::from_millis(20_000);
 /// Time over which the rate sent to an engine is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
 /// Time in which all routers together may send a cold engine one prompt where nothing is known of warm ones.
@@ -114,7 +116,8 @@
     returned: Option<Duration>,
     doublings: u32,
     on_trial: bool,
-    full_at: Option<Duration>,
+    /// Until when it is passed over for each class, as it was full.
+    rests: Vec<Duration>,
     /// Own rate sent, tokens a second, as of `rate_at`; the bucket of a cold engine.
     rate: f64,
     rate_at: Duration,
@@ -325,9 +328,14 @@
 
     /// Saturation of one engine, if it is known.
     fn load(&self, now: Duration, server: &Server) -> Option<f64> {
+        self.parts(now, server).map(|(waiting, memory)| waiting.max(memory))
+    }
+
+    /// Its two parts, of waiting tokens and of memory.
+    fn parts(&self, now: Duration, server: &Server) -> Option<(f64, f64)> {
         if self.settings.reports == ReportSource::None {
             let waiting = server.since * f64::from(self.settings.routers);
-            return Some(waiting / WAITING_THRESHOLD);
+            return Some((waiting / WAITING_THRESHOLD, 0.0));
         }
         let (at, report) = server.report.as_ref()?;
         if now.saturating_sub(*at) > REPORT_LIFE {
@@ -340,7 +348,7 @@
             None => (counted().unwrap_or(0.0) * self.mean_prompt + server.since) * to_read,
         };
         let memory = report.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
-        Some((waiting / WAITING_THRESHOLD).max(memory))
+        Some((waiting / WAITING_THRESHOLD, memory))
     }
 
     /// In-flight counts hold running answers too. The part that waits is the part of their time that
@@ -489,8 +497,8 @@
 
     /// What an engine bears, in tokens: as it reports, else as its stage's mean, and our own under way.
     fn bears(&self, now: Duration, server: &Server) -> f64 {
-        let load = self.load(now, server).unwrap_or_else(|| self.stage(now, server.role));
-        load * WAITING_THRESHOLD + server.tokens
+        let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
+        load.unwrap_or_else(|| self.stage(now, server.role)) * WAITING_THRESHOLD + server.tokens
     }
 
     /// The usable engines for this request's next attempt. Those it has tried, and those that just
@@ -510,7 +518,7 @@
         pool.retain(warm);
         let fresh = |s: &&Server| {
             !job.attempts.iter().any(|a| a.engine == s.entry.id && (!a.read || job.held.is_none()))
-                && s.full_at.is_none_or(|at| now.saturating_sub(at) > FULL_REST)
+                && s.rests.get(job.request.class.0).is_none_or(|&until| now >= until)
         };
         if pool.iter().any(&fresh) {
             pool.retain(|s| fresh(s));
@@ -627,12 +635,23 @@
             _ => None,
         };
         let (over, mut failures) = (job.ended, 0);
+        let roomy = self.servers.get(&engine).and_then(|s| self.load(now, s));
+        let roomy = roomy.is_some_and(|load| refusal_chance(load, true) < 1.0);
+        let rest = if roomy { THROTTLE_REST } else { FULL_REST };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         if let Some(server) = self.servers.get_mut(&engine) {
             server.out = server.out.saturating_sub(1);
             server.tokens = (server.tokens - tokens).max(0.0);
             server.on_trial = false;
             match outcome {
-                Outcome::Full { .. } => (server.full_at, server.heard) = (Some(now), now),
+                Outcome::Full { no_state } => {
+                    server.heard = now;
+                    if !no_state {
+                        let class = job.request.class.0;
+                        server.rests.resize(server.rests.len().max(class + 1), Duration::ZERO);
+                        server.rests[class] = now + rest;
+                    }
+                }
                 Outcome::Error | Outcome::Reset => server.failures += 1,
                 _ => {}
             }
@@ -688,7 +707,7 @@
         let repeatable = read || self.effect(job) == Effect::Safe;
         let left = self.settings.limits.attempts - job.attempts.len();
         let moves = !job.ended && repeatable && left >= 1 && self.settings.limits.cancel;
-        self.eject(now, engine, Grade::Hard, "silent", out);
+        self.eject(now, engine, Grade::Soft, "silent", out);
         if moves {
             out.push(Action::Cancel { request: id, attempt });
         } else {
