A lost write with two attempts left is read anew where the text is kept

Cause: with answers lost a second writer was asked for a state that had been fetched, which left one attempt, too few for a read and a write.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -137,6 +137,8 @@
     /// Since the send, when the answer began.
     begun: Option<Duration>,
     asked: bool,
+    /// It did what was wanted: a read that ended well may be asked for again.
+    done: bool,
 }
 
 #[derive(Default)]
@@ -517,7 +519,7 @@
         }
         pool.retain(warm);
         let fresh = |s: &&Server| {
-            !job.attempts.iter().any(|a| a.engine == s.entry.id && (!a.read || job.held.is_none()))
+            !job.attempts.iter().any(|a| a.engine == s.entry.id && !a.done)
                 && s.rests.get(job.request.class.0).is_none_or(|&until| now >= until)
         };
         if pool.iter().any(&fresh) {
@@ -556,7 +558,7 @@
         let read = server.role == Role::Read;
         let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
         job.held = None;
-        job.attempts.push(Attempt { engine, sent: now, tokens, read, out: true, begun: None, asked: false });
+        job.attempts.push(Attempt { engine, sent: now, tokens, read, out: true, begun: None, asked: false, done: false });
         if !read && job.may_have_run.is_none() {
             job.may_have_run = Some((job.attempts.len() - 1, now, engine));
         }
@@ -620,17 +622,20 @@
         let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
-        a.out = false;
+        (a.out, a.done) = (false, outcome == Outcome::Read);
         let Attempt { engine, sent, begun, read, tokens, .. } = *a;
         let prompt = job.request.prompt_tokens;
         job.ended |= ended.finished;
+        let left = self.settings.limits.attempts.saturating_sub(job.attempts.len());
         if outcome.proves_not_run() && job.may_have_run.is_some_and(|(first, ..)| first == ended.attempt) {
             job.may_have_run = None;
         }
         job.held = match outcome {
             Outcome::Read => Some((engine, now)),
             Outcome::Ok | Outcome::Full { no_state: true } => None,
-            // The state still waits unless it was fetched: asking another writer for it tells.
+            // The state still waits unless it was fetched: asking another writer for it tells. With two
+            // attempts left that would leave too few, and the reader has kept the text: it is read again.
+            Outcome::Error | Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if left == 2 => None,
             _ if !read => job.attempts.iter().rev().find(|a| a.read).map(|a| (a.engine, now)),
             _ => None,
         };
