Late attempts are lost though their engine answers others; a reset read may go to the same reader again

Cause: with answers lost the engine goes on answering probes, so the check of a silent attempt never came to an end, and a reset read was read whole elsewhere though its reader had kept the text.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
 /// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
+/// Patiences after which an attempt counts as lost though its engine answers others; no unit.
+const LOST_PATIENCES: u32 = 2;
 /// Pace before any was seen, seconds a token. A slow reader's.
 const FIRST_PACE: f64 = 0.000_3;
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
@@ -594,7 +596,7 @@
         let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
-        (a.out, a.done) = (false, outcome == Outcome::Read);
+        (a.out, a.done) = (false, a.read && matches!(outcome, Outcome::Read | Outcome::Reset));
         let Attempt { engine, sent, begun, read, tokens, .. } = *a;
         let prompt = job.request.prompt_tokens;
         job.ended |= ended.finished;
@@ -655,18 +657,20 @@
 
     /// One look at an attempt after its patience. An engine that was heard of since is only busy;
     /// one that said nothing, nor to a probe, is dead, cut off or stalled: a read moves on, and so does
-    /// a write that may run twice; an unsafe write is awaited. Harm: a stall costs a second read.
+    /// a write that may run twice; an unsafe write is awaited. So does one that is late by far at an engine
+    /// that answers others: its answer is lost. Harm: a stall or a long queue costs a second read.
     fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: Out) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
-        let (engine, read) = (a.engine, a.read);
+        let (engine, read, sent, asked) = (a.engine, a.read, a.sent, a.asked);
         let (role, heard) = self.servers.get(&engine).map_or_else(Default::default, |s| (s.role, s.heard));
-        let (patience, heard) = (self.patience(role, job.request.prompt_tokens), heard.max(a.sent));
-        if heard + patience > now {
-            let after = heard + patience - now;
+        let patience = self.patience(role, job.request.prompt_tokens);
+        let lost = now >= sent + patience * LOST_PATIENCES;
+        if !lost && heard.max(sent) + patience > now {
+            let after = (heard.max(sent) + patience).min(sent + patience * LOST_PATIENCES) - now;
             return self.alarm(Alarm::Check(id, attempt), after, out);
         }
-        if self.settings.limits.probes && !a.asked {
+        if self.settings.limits.probes && !lost && !asked {
             self.jobs.entry(id).and_modify(|j| j.attempts[attempt].asked = true);
             self.probe(engine, out);
             let wait = self.settings.limits.connect_timeout + self.settings.tick * ANSWER_TICKS;
