--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,24 +28,20 @@
 const MEAN_WEIGHT: f64 = 0.06;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
-/// Requests that a tenant's bucket holds at least; no unit. Fewer take chance arrivals for too many.
+/// Requests that a tenant's bucket holds; no unit. Fewer take chance arrivals for too many.
 const QUOTA_DEPTH: f64 = 8.0;
 /// Wait told with a refusal or before the list is asked for again, jittered by half. A full queue's time.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Own tokens at the preferred engine against those at another above which that one is taken; no unit.
+/// Tokens borne by the preferred engine against those by another above which that one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
-/// Shortest time an engine may be silent under an attempt. Longer than a routine pause.
-const MIN_PATIENCE: Duration = Duration::from_millis(600);
+/// Shortest time that an attempt may say nothing. Longer than a routine pause.
+const MIN_PATIENCE: Duration = Duration::from_millis(900);
 /// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
-/// Patiences after which an attempt counts as lost though its engine answers others; no unit.
-const LOST_PATIENCES: u32 = 2;
 /// Pace before any was seen, seconds a token. A slow reader's.
 const FIRST_PACE: f64 = 0.000_3;
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
-/// How often work that found no usable engine looks again.
-const PARK_STEP: Duration = Duration::from_millis(25);
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
 const HOLD_PART: f64 = 0.5;
 /// Ticks before the client's end at which the final answer goes out; no unit. One to tell, one to spare.
@@ -60,7 +56,7 @@
 const FULL_REST: Duration = Duration::from_millis(250);
 /// The same where the engine reports room: it turns away what this class sends, and goes on doing so.
 const THROTTLE_REST: Duration = Duration::from_millis(20_000);
-/// Time over which the rate sent to an engine is averaged.
+/// Time over which the rate sent to the engines of a role is averaged. Long against chance arrivals.
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
 /// Time in which all routers together may send a cold engine one prompt where nothing is known of warm ones.
 const COLD_STEP: Duration = Duration::from_millis(1_000);
@@ -68,7 +64,7 @@
 const COLD_BURST: Duration = Duration::from_millis(500);
 /// Age from which an engine's report is asked for anew before it is chosen by. A refresh period or so.
 const FRESH: Duration = Duration::from_millis(300);
-/// Longest wait for the answers of the engines asked. A round trip with a new connection, no more.
+/// Longest wait for the engines asked, and for one to become usable. A round trip with a new connection.
 const ASK_WAIT: Duration = Duration::from_millis(30);
 /// No wait is longer, whatever a request claims: hosts' timers have an end.
 const LONGEST: Duration = Duration::from_secs(3_600);
@@ -102,7 +98,8 @@
     doublings: u32,
     /// Until when it is passed over for each class, as it was full.
     rests: Vec<Duration>,
-    /// The bucket of a cold engine, tokens, as of `bucket_at`.
+    /// The bucket of a cold engine, tokens, as of `bucket_at`. It starts short by a chance part of a prompt:
+    /// all routers hear of it at once, and hundreds of first sends at one moment would push it over.
     bucket: f64,
     bucket_at: Duration,
     probing: bool,
@@ -118,7 +115,6 @@
     out: bool,
     /// Since the send, when the answer began.
     begun: Option<Duration>,
-    asked: bool,
     /// It did what was wanted: a read that ended well may be asked for again.
     done: bool,
 }
@@ -243,8 +239,7 @@
     fn on_request(&mut self, now: Duration, request: Request, out: Out) {
         let id = request.id;
         if self.jobs.contains_key(&id) || request.class.0 >= self.settings.classes.len() {
-            out.push(Action::Fail(id));
-            return;
+            return out.push(Action::Fail(id));
         }
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         let droppable = self.droppable(now, &request);
@@ -529,16 +524,7 @@
         let read = server.role == Role::Read;
         let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
         job.held = None;
-        job.attempts.push(Attempt {
-            engine,
-            sent: now,
-            tokens,
-            read,
-            out: true,
-            begun: None,
-            asked: false,
-            done: false,
-        });
+        job.attempts.push(Attempt { engine, sent: now, tokens, read, out: true, begun: None, done: false });
         if !read && job.may_have_run.is_none() {
             job.may_have_run = Some((job.attempts.len() - 1, now, engine));
         }
@@ -567,14 +553,14 @@
         let patience = self.settings.let_go_within.mul_f64(HOLD_PART);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let waited = match job.held {
-            Some((_, since)) => now.saturating_sub(since) + PARK_STEP >= patience,
+            Some((_, since)) => now.saturating_sub(since) + ASK_WAIT >= patience,
             None => now + job.request.time_left / 2 > job.deadline,
         };
         if waited || self.servers.is_empty() {
             return self.give_up(id, out);
         }
-        (job.parked, job.choice) = (Some(now + PARK_STEP), None);
-        self.alarm(Alarm::Parked(id), PARK_STEP, out);
+        (job.parked, job.choice) = (Some(now + ASK_WAIT), None);
+        self.alarm(Alarm::Parked(id), ASK_WAIT, out);
     }
 
     // ---- 4. Further attempts ------------------------------------------------------------------
@@ -583,8 +569,7 @@
         let Some(job) = self.jobs.get_mut(&which.0) else { return };
         let Some(a) = job.attempts.get_mut(which.1).filter(|a| a.out && a.begun.is_none()) else { return };
         a.begun = Some(latency);
-        job.ended = true;
-        job.held = None;
+        (job.ended, job.held) = (true, None);
         // The first token frees what else is held, but that word can be lost on a cut link.
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
@@ -655,34 +640,15 @@
         }
     }
 
-    /// One look at an attempt after its patience. An engine that was heard of since is only busy;
-    /// one that said nothing, nor to a probe, is dead, cut off or stalled: a read moves on, and so does
-    /// a write that may run twice; an unsafe write is awaited. So does one that is late by far at an engine
-    /// that answers others: its answer is lost. Harm: a stall or a long queue costs a second read.
-    fn on_check(&mut self, now: Duration, id: RequestId, attempt: usize, out: Out) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
-        let (engine, read, sent, asked) = (a.engine, a.read, a.sent, a.asked);
-        let (role, heard) = self.servers.get(&engine).map_or_else(Default::default, |s| (s.role, s.heard));
-        let patience = self.patience(role, job.request.prompt_tokens);
-        let lost = now >= sent + patience * LOST_PATIENCES;
-        if !lost && heard.max(sent) + patience > now {
-            let after = (heard.max(sent) + patience).min(sent + patience * LOST_PATIENCES) - now;
-            return self.alarm(Alarm::Check(id, attempt), after, out);
-        }
-        if self.settings.limits.probes && !lost && !asked {
-            self.jobs.entry(id).and_modify(|j| j.attempts[attempt].asked = true);
-            self.probe(engine, out);
-            let wait = self.settings.limits.connect_timeout + self.settings.tick * ANSWER_TICKS;
-            return self.alarm(Alarm::Check(id, attempt), wait, out);
-        }
-        let repeatable = read || self.effect(job) == Effect::Safe;
-        let left = self.settings.limits.attempts - job.attempts.len();
-        let moves = !job.ended && repeatable && left >= 1 && self.settings.limits.cancel;
-        if moves {
+    /// An attempt has said nothing for its patience: its engine is dead, cut off or stalled, or does the
+    /// work but its answer is lost. A read goes again elsewhere, and so does a write that may run twice; an
+    /// unsafe write is awaited. Harm: a long queue or a stall costs the work twice.
+    fn on_check(&mut self, id: RequestId, attempt: usize, out: Out) {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
+        let Some(a) = job.attempts.get(attempt).filter(|a| a.out) else { return };
+        let repeatable = a.read || self.effect(job) == Effect::Safe;
+        if repeatable && self.settings.limits.attempts > job.attempts.len() && self.settings.limits.cancel {
             out.push(Action::Cancel { request: id, attempt });
-        } else {
-            self.alarm(Alarm::Check(id, attempt), patience, out);
         }
     }
 
@@ -728,7 +694,7 @@
             Some(Alarm::Deadline(id)) if self.jobs.get(&id).is_some_and(|j| !j.ended) => {
                 self.end(id, Some(Action::Fail(id)), out)
             }
-            Some(Alarm::Check(id, attempt)) => self.on_check(now, id, attempt, out),
+            Some(Alarm::Check(id, attempt)) => self.on_check(id, attempt, out),
             Some(Alarm::Parked(id)) => {
                 let due = |job: &&mut Job| job.parked.is_some_and(|until| now >= until);
                 if let Some(job) = self.jobs.get_mut(&id).filter(due) {
@@ -753,7 +719,7 @@
 
     /// An engine was heard of. If it could not be reached before, it counts as cold from now.
     fn reached(&mut self, now: Duration, engine: EngineId) {
-        let lack = self.first_send();
+        let lack = self.chance() * self.mean_prompt;
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         if server.unreachable() {
@@ -807,12 +773,6 @@
         share * self.means[server.role as usize].borne.max(least)
     }
 
-    /// What the bucket of an engine that turns cold lacks: a chance part of a prompt. All routers hear of it
-    /// at once, and hundreds of first sends at the same moment would push it over.
-    fn first_send(&mut self) -> f64 {
-        self.chance() * self.mean_prompt
-    }
-
     fn note_borne(&mut self, now: Duration, role: Role, prompt: f64) {
         let warm = |s: &&Server| s.role == role && s.ready() && !self.is_cold(now, s);
         let warm = self.servers.values().filter(warm).count().max(1) as f64;
@@ -843,7 +803,7 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let lack = self.first_send();
+            let lack = self.chance() * self.mean_prompt;
             let fresh = || Server { bucket: -lack, ..Server::new(now, entry.clone(), role) };
             let server = self.servers.entry(entry.id).or_insert_with(fresh);
             if server.entry.started != entry.started {
