--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,10 +28,14 @@
 const MEAN_WEIGHT: f64 = 0.06;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
+/// Usual attempts that the estimate of an engine's waiting part starts from; no unit. Steadies small counts.
+const WAITING_PRIOR: f64 = 8.0;
 /// Requests that a tenant's bucket holds; no unit. Fewer take chance arrivals for too many.
 const QUOTA_DEPTH: f64 = 8.0;
 /// Wait told with a refusal or before the list is asked for again, jittered by half. A full queue's time.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Bounds of a reader's weight as a home; no unit. Readers have room for a quarter more.
+const HOME_WEIGHTS: [f64; 2] = [0.75, 1.25];
 /// Tokens borne by the preferred engine against those by another above which that one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
 /// Shortest time that an attempt may say nothing. Longer than a routine pause.
@@ -60,12 +64,12 @@
 const RATE_SPAN: Duration = Duration::from_millis(5_000);
 /// Time in which all routers together may send a cold engine one prompt where nothing is known of warm ones.
 const COLD_STEP: Duration = Duration::from_millis(1_000);
-/// Time whose budget a cold engine's token bucket may save up. Well under any span of the rule.
-const COLD_BURST: Duration = Duration::from_millis(500);
 /// Age from which an engine's report is asked for anew before it is chosen by. A refresh period or so.
-const FRESH: Duration = Duration::from_millis(300);
+const FRESH: Duration = Duration::from_millis(600);
 /// Longest wait for the engines asked, and for one to become usable. A round trip with a new connection.
 const ASK_WAIT: Duration = Duration::from_millis(30);
+/// Tokens that an engine which did not answer seems to bear: more than any does.
+const SILENT_TOKENS: f64 = 1e9;
 /// No wait is longer, whatever a request claims: hosts' timers have an end.
 const LONGEST: Duration = Duration::from_secs(3_600);
 /// Least time between two log lines.
@@ -88,8 +92,10 @@
     report: Option<(Duration, LoadReport)>,
     /// Own prompt tokens sent since the report and still waiting.
     since: f64,
-    /// Own tokens under way.
+    /// Own tokens under way, own attempts out, and how many of these have not begun to answer.
     tokens: f64,
+    out: f64,
+    waiting: f64,
     heard: Duration,
     /// Until when it is left alone, as it could not be connected to.
     ejected: Option<Duration>,
@@ -151,8 +157,7 @@
     /// Time that attempts wait, and that they take as a whole, seconds.
     waited: f64,
     whole: f64,
-    /// What this router sends to warm engines, tokens a second as of `rate_at`, and what one bears of it: a
-    /// slow mean, so that it outlives an outage.
+    /// Own tokens a second to warm engines, as of `rate_at`; what one bears, a mean that outlives outages.
     rate: f64,
     rate_at: Duration,
     borne: f64,
@@ -166,7 +171,6 @@
     jobs: BTreeMap<RequestId, Job>,
     alarms: BTreeMap<TimerId, Alarm>,
     next_timer: u64,
-    started: bool,
     /// Token bucket of each tenant's quota: its level and when.
     quotas: Vec<(f64, Duration)>,
     top_worth: f64,
@@ -194,7 +198,6 @@
             jobs: BTreeMap::new(),
             alarms: BTreeMap::new(),
             next_timer: 0,
-            started: false,
             quotas,
             top_worth,
             loose_aim,
@@ -208,12 +211,6 @@
 
     /// Takes one event at `now` and appends what to do about it to `out`.
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
-        if !self.started {
-            self.started = true;
-            if self.settings.ask_for_engines {
-                out.push(Action::WatchEngines(true));
-            }
-        }
         match event {
             Event::Engines { listing, engines } => self.on_list(now, listing, engines, out),
             Event::Request(request) => self.on_request(now, request, out),
@@ -224,7 +221,6 @@
             Event::ClientGone(id) => self.end(id, None, out),
             Event::Timer(timer) => self.on_timer(now, timer, out),
             Event::Probed { engine, outcome, report } => self.on_probed(now, engine, outcome, report, out),
-            // No place is ever asked for, as the writer is picked late; routers decide alone.
             Event::Place { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -243,7 +239,8 @@
         }
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         let droppable = self.droppable(now, &request);
-        let chance = refusal_chance(self.saturation(now), droppable);
+        let saturation = self.stage(now, Role::Read).max(self.stage(now, Role::Write));
+        let chance = refusal_chance(saturation, droppable);
         let refused = self.hopeless(&request) || self.chance() < chance;
         let deadline = now + request.time_left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
         let job = Job { request, deadline, ..Job::default() };
@@ -256,15 +253,13 @@
         self.advance(now, id, out);
     }
 
-    /// Whether its client will have left before an answer usually begins. Guards against impatient clients
-    /// whose abandoned tries eat the capacity that would serve them; harm: after a jam good requests are
-    /// turned away, so each one turned away lets the means forget a little.
+    /// Whether its client will have left before an answer usually begins: abandoned tries eat the capacity
+    /// that would serve them. Harm: a jam that is over refuses on, so each refusal lets the means forget.
     fn hopeless(&mut self, request: &Request) -> bool {
-        let stages = [Role::Read as usize, Role::Write as usize];
-        let usual: f64 = stages.iter().map(|&stage| self.means[stage].waited).sum();
+        let usual = self.means[Role::Read as usize].waited + self.means[Role::Write as usize].waited;
         let hopeless = request.time_left.as_secs_f64() < usual;
         if hopeless {
-            stages.iter().for_each(|&stage| self.means[stage].waited *= 1.0 - MEAN_WEIGHT);
+            self.means.iter_mut().for_each(|means| means.waited *= 1.0 - MEAN_WEIGHT);
         }
         hopeless
     }
@@ -291,13 +286,8 @@
         over
     }
 
-    /// Mean saturation of the ready engines; one that was not heard of lately takes the mean. Exception
-    /// to the post: of the two stages the fuller one counts, as idle engines of the other would hide it.
-    fn saturation(&self, now: Duration) -> f64 {
-        self.stage(now, Role::Read).max(self.stage(now, Role::Write))
-    }
-
-    /// Mean saturation of the engines that do the work of this role.
+    /// Mean saturation of a stage's ready engines; one not heard of lately takes the mean. Exception to the
+    /// post: of the two stages the fuller one counts, as idle engines of the other would hide it.
     fn stage(&self, now: Duration, role: Role) -> f64 {
         let does = |s: &&Server| s.ready() && (s.role == role || s.role == Role::Both || role == Role::Both);
         let loads = self.servers.values().filter(does).filter_map(|s| self.load(now, s));
@@ -321,9 +311,10 @@
             return None;
         }
         let to_read = if server.role == Role::Read { self.unread } else { 1.0 };
-        // In-flight counts hold running answers too: the part of their time that attempts waited lately.
+        // In-flight counts hold running answers too: only the part of its time that an attempt waits counts.
         let Means { waited, whole, .. } = self.means[server.role as usize];
-        let part = waited / whole.max(f64::EPSILON);
+        let usual = WAITING_PRIOR * waited / whole.max(f64::EPSILON);
+        let part = (server.waiting.max(0.0) + usual) / (server.out.max(0.0) + WAITING_PRIOR);
         let counted = || report.queued.or(report.in_flight.map(|n| n * part));
         let waiting = match report.waiting_tokens {
             Some(tokens) => tokens + server.since,
@@ -376,13 +367,29 @@
             Role::Read => left >= 2,
             role => role == Role::Both || writers_read,
         });
-        homes.sort_by_key(|id| std::cmp::Reverse(xxh3_64_with_seed(&id.0.to_le_bytes(), key)));
+        homes.sort_by_cached_key(|id| {
+            let hash = (xxh3_64_with_seed(&id.0.to_le_bytes(), key) >> 11) as f64 / (1u64 << 53) as f64;
+            (-hash.ln() / self.weight(&self.servers[id])).to_bits()
+        });
         let mut others = homes.split_off(homes.len().min(2));
         homes.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
         others.truncate(2);
         (homes, others)
     }
 
+    /// A reader is home in proportion to the writers of its cell, in bounds: state that finds none goes far.
+    fn weight(&self, home: &Server) -> f64 {
+        let count = |near: bool, role: Role| {
+            let at = |s: &&Server| s.ready() && (!near || s.entry.cell == home.entry.cell);
+            let part =
+                |s: &Server| if s.role == role { 2.0 } else { f64::from(u8::from(s.role == Role::Both)) };
+            self.servers.values().filter(at).map(part).sum::<f64>().max(1.0)
+        };
+        let ratio = |near| count(near, Role::Write) / count(near, Role::Read);
+        let [least, most] = if home.role == Role::Read { HOME_WEIGHTS } else { [1.0; 2] };
+        (ratio(true) / ratio(false)).clamp(least, most)
+    }
+
     /// Power of two choices: two writers at random. Exception: moving state far is slow and priced, so a
     /// pair of the reader's cell (else its zone) comes first, others only as spill.
     fn writers(&mut self, now: Duration, id: RequestId) -> (Vec<EngineId>, Vec<EngineId>) {
@@ -414,7 +421,7 @@
         &mut self, now: Duration, id: RequestId, (near, far): (Vec<EngineId>, Vec<EngineId>), out: Out,
     ) -> bool {
         let mut waits = false;
-        if near.len() + far.len() > 1 && self.may_ask() {
+        if near.len() + far.len() > 1 && self.settings.limits.probes {
             for engine in near.iter().chain(&far) {
                 let Some(server) = self.servers.get_mut(engine).filter(|s| !s.fresh(now)) else { continue };
                 server.askers.push(id);
@@ -434,42 +441,28 @@
     /// A refused request asks too, as a router that refuses all would hear nothing any more.
     fn ask_anyone(&mut self, now: Duration, out: Out) {
         let old = |s: &&Server| s.ready() && !s.unreachable() && !s.probing && !s.fresh(now);
-        let pool = self.servers.values().filter(|_| self.may_ask()).filter(old).map(|s| s.entry.id).collect();
+        let pool = self.servers.values().filter(old).map(|s| s.entry.id).collect();
         self.two_of(pool).into_iter().for_each(|engine| self.probe(engine, out));
     }
 
-    fn may_ask(&self) -> bool {
-        self.settings.limits.probes && self.settings.reports != ReportSource::None
-    }
-
-    /// The preferred engine that bears least, unless another bears so much less that waiting costs more
-    /// than going there. Of those asked, one that has not answered comes last: it is busy, cut off, dead
-    /// or has no connection yet, and all of these cost more than a few tokens.
+    /// The preferred engine that bears least by its report (else its stage's mean) and our own tokens, unless
+    /// another bears so much less that going there is quicker. Of those asked, one that has not answered
+    /// comes last: it is busy, cut off, dead or has no connection yet.
     fn choose(&self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
         let choice = job.choice.as_ref()?;
         let own = job.request.prompt_tokens;
         let bears = |id: &EngineId| {
             let server = self.servers.get(id).filter(|s| s.ready())?;
-            Some((server.heard + FRESH < choice.asked, self.bears(now, server)))
-        };
-        let least = |pool: &[EngineId]| {
-            let known = pool.iter().filter_map(|id| Some((*id, bears(id)?)));
-            known.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
+            let load = load.unwrap_or_else(|| self.stage(now, server.role));
+            let silent = if server.heard + FRESH < choice.asked { SILENT_TOKENS } else { 0.0 };
+            Some((*id, load * WAITING_THRESHOLD + server.tokens + silent))
         };
+        let least = |pool: &[EngineId]| pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1));
         let (near, far) = (least(&choice.near), least(&choice.far));
-        let spills = |far: (bool, f64)| {
-            near.is_none_or(|(_, near)| {
-                near.0 && !far.0 || near.0 == far.0 && near.1 > FAR_FACTOR * (far.1 + own)
-            })
-        };
-        far.filter(|(_, far)| spills(*far)).or(near).map(|(id, _)| id)
-    }
-
-    /// What an engine bears, in tokens: as it reports, else as its stage's mean, and our own under way.
-    fn bears(&self, now: Duration, server: &Server) -> f64 {
-        let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
-        load.unwrap_or_else(|| self.stage(now, server.role)) * WAITING_THRESHOLD + server.tokens
+        let spills = |far: f64| near.is_none_or(|(_, near)| near > FAR_FACTOR * (far + own));
+        far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
     }
 
     /// The usable engines for this request's next attempt. Those it has tried, and those that just
@@ -494,8 +487,7 @@
         pool.iter().map(|s| s.entry.id).collect()
     }
 
-    /// Rule of effects: a keyed request that may have run goes only to the engines that drop its
-    /// repeats, while they remember it. Reads have no effect.
+    /// A keyed request that may have run goes only to engines that drop its repeats, while they remember it.
     fn may_send(&self, now: Duration, job: &Job, server: &Server) -> bool {
         let Effect::Keyed { group, window } = self.effect(job) else { return true };
         let Some((_, at, first)) = job.may_have_run.filter(|_| server.role != Role::Read) else {
@@ -516,8 +508,8 @@
     }
 
     fn send(&mut self, now: Duration, id: RequestId, engine: EngineId, out: Out) {
-        let cold_rate =
-            self.servers.get(&engine).filter(|s| self.is_cold(now, s)).map(|s| self.cold_rate(now, s));
+        let cold = self.servers.get(&engine).filter(|s| self.is_cold(now, s));
+        let cold_rate = cold.map(|s| self.cold_rate(now, s));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(server) = self.servers.get_mut(&engine) else { return };
         let prompt = job.request.prompt_tokens;
@@ -530,6 +522,7 @@
         }
         let attempt = job.attempts.len() - 1;
         server.tokens += tokens;
+        (server.out, server.waiting) = (server.out + 1.0, server.waiting + 1.0);
         server.since += prompt;
         let role = server.role;
         match cold_rate {
@@ -603,6 +596,7 @@
         let roomy = load.is_some_and(|load| refusal_chance(load, true) < 1.0);
         if let Some(server) = self.servers.get_mut(&engine) {
             server.tokens = (server.tokens - tokens).max(0.0);
+            server.out -= 1.0;
             match outcome {
                 Outcome::Full { no_state: true } => server.heard = now,
                 Outcome::Full { .. } => {
@@ -633,10 +627,9 @@
             Outcome::ConnectFailed => self.eject(now, engine, "no connection", out),
             _ => {}
         }
-        if over {
-            self.end(id, None, out);
-        } else {
-            self.advance(now, id, out);
+        match over {
+            true => self.end(id, None, out),
+            false => self.advance(now, id, out),
         }
     }
 
@@ -669,8 +662,7 @@
         self.end(id, Some(answer), out);
     }
 
-    /// The one place where a request ends and what is held for it is let go. A read that is still
-    /// out may yet leave a state behind: its outcome comes through here again.
+    /// The one place where a request ends and lets go. A read still out comes through here again.
     fn end(&mut self, id: RequestId, answer: Option<Action>, out: Out) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.ended = true;
@@ -690,10 +682,9 @@
     }
 
     fn on_timer(&mut self, now: Duration, timer: TimerId, out: Out) {
+        let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| !j.ended);
         match self.alarms.remove(&timer) {
-            Some(Alarm::Deadline(id)) if self.jobs.get(&id).is_some_and(|j| !j.ended) => {
-                self.end(id, Some(Action::Fail(id)), out)
-            }
+            Some(Alarm::Deadline(id)) if open(&id) => self.end(id, Some(Action::Fail(id)), out),
             Some(Alarm::Check(id, attempt)) => self.on_check(id, attempt, out),
             Some(Alarm::Parked(id)) => {
                 let due = |job: &&mut Job| job.parked.is_some_and(|until| now >= until);
@@ -793,6 +784,10 @@
             }
             return;
         }
+        // A router comes up with the list that it last held.
+        if listing == Listing::Cached && self.settings.ask_for_engines {
+            out.push(Action::WatchEngines(true));
+        }
         if listing != Listing::Changes {
             let named: Vec<EngineId> = engines.iter().map(|e| e.id).collect();
             self.servers.retain(|id, _| named.contains(id));
@@ -804,11 +799,14 @@
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
             let lack = self.chance() * self.mean_prompt;
-            let fresh = || Server { bucket: -lack, ..Server::new(now, entry.clone(), role) };
+            let (heard, bucket, bucket_at) = (now, -lack, now);
+            let fresh =
+                || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
             let server = self.servers.entry(entry.id).or_insert_with(fresh);
             if server.entry.started != entry.started {
                 // A restart: what was known of the engine is void, what is out there is not.
-                *server = Server { tokens: server.tokens, ..fresh() };
+                let Server { tokens, out, waiting, .. } = *server;
+                *server = Server { tokens, out, waiting, ..fresh() };
             }
             server.entry = entry;
         }
@@ -845,7 +843,8 @@
     }
 
     fn probe(&mut self, engine: EngineId, out: Out) {
-        if let Some(server) = self.servers.get_mut(&engine).filter(|s| !s.probing) {
+        let allowed = self.settings.limits.probes;
+        if let Some(server) = self.servers.get_mut(&engine).filter(|s| allowed && !s.probing) {
             server.probing = true;
             out.push(Action::Probe(engine));
         }
@@ -853,6 +852,7 @@
 
     fn stop_waiting(&mut self, engine: EngineId, sent: Duration, prompt: f64) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
+        server.waiting -= 1.0;
         if server.report.as_ref().is_none_or(|(at, _)| sent > *at) {
             server.since = (server.since - prompt).max(0.0);
         }
@@ -890,17 +890,13 @@
 }
 
 impl Server {
-    fn new(now: Duration, entry: Engine, role: Role) -> Self {
-        Server { entry, role, heard: now, bucket_at: now, ..Server::default() }
-    }
-
     fn ready(&self) -> bool {
         self.entry.state == EngineState::Ready
     }
 
-    /// Whether its load was told a moment ago.
+    /// Whether its load was told a moment ago, or its life where it tells no load.
     fn fresh(&self, now: Duration) -> bool {
-        self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) < FRESH)
+        now.saturating_sub(self.report.as_ref().map_or(self.heard, |(at, _)| *at)) < FRESH
     }
 
     fn unreachable(&self) -> bool {
@@ -911,9 +907,8 @@
         self.unreachable().then_some(now).or(self.entry.started.max(self.returned))
     }
 
-    /// What the bucket of a cold engine holds at this rate.
+    /// What the bucket of a cold engine holds at this rate: no more than lets one prompt through.
     fn bucket_level(&self, now: Duration, rate: f64) -> f64 {
-        let gained = rate * now.saturating_sub(self.bucket_at).as_secs_f64();
-        (self.bucket + gained).min(rate * COLD_BURST.as_secs_f64())
+        (self.bucket + rate * now.saturating_sub(self.bucket_at).as_secs_f64()).min(1.0)
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -420,9 +420,10 @@
 #[test]
 fn a_refused_request_asks_engines_whose_reports_are_old() {
     let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
-    host.report(2, 60_000.0);
     let asks = |out: &[Action]| out.iter().filter(|a| matches!(a, Action::Probe(_))).count();
     host.mute = true;
+    host.now += ms(800);
+    host.report(2, 60_000.0);
     let out = host.ask(request(1, 1));
     assert_eq!((refused(&out), asks(&out)), (true, 1), "only the reader's report is old: {out:?}");
     host.now += ms(1000);
