--- a/src/rules.rs
+++ b/src/rules.rs
@@ -461,7 +461,7 @@
         };
         let least = |pool: &[EngineId]| pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1));
         let (near, far) = (least(&choice.near), least(&choice.far));
-        let spills = |far: f64| near.is_none_or(|(_, near)| near > FAR_FACTOR * (far + own));
+        let spills = |far: f64| near.is_none_or(|(_, near)| near > FAR_FACTOR * far + own);
         far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
     }
 
