--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -63,6 +63,18 @@
     assert!(answers[10..].iter().all(|&refused| refused));
 }
 
+#[test]
+fn repeats_that_clients_mark_do_not_draw_on_their_tenants_share() {
+    let mut s = settings(Effect::Safe);
+    s.tenants = vec![Tenant { quota_per_s: Some(1.0) }];
+    let mut host = Host::new(s, 2, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+    host.report(1, 0.0);
+    host.report(2, 19_400.0); // certain for droppable, one in nine for protected ones
+    let ask = |id| refused(&host.ask(Request { repeat: true, ..request(id, 0) }));
+    let refusals = (0..40).map(ask).filter(|&refused| refused).count();
+    assert!(refusals < 25, "{refusals}");
+}
+
 #[test]
 fn a_refusal_tells_when_to_come_again_where_clients_hear_it() {
     for most in [None, Some(ms(300))] {
@@ -281,6 +293,43 @@
     assert!(cold > 0 && (cold as f64) < most, "{cold} of {most}");
 }
 
+/// Found in incident ia21940: all routers heard of a start at once, and each sent a prompt.
+#[test]
+fn hundreds_of_routers_do_not_send_to_a_cold_engine_at_once() {
+    let mut s = settings(Effect::Safe);
+    s.routers = 200;
+    let mut sent = 0;
+    for seed in 0..200 {
+        let mut host = Host::new(s.clone(), seed, vec![engine(2, 1, 0)]);
+        let started = Some(host.now);
+        host.list(Listing::Changes, vec![Engine { started, ..engine(1, 0, 0) }]);
+        for id in 0..10 {
+            host.now += ms(100);
+            sent += usize::from(sent_to(&host.ask(request(id, 0))).is_some());
+        }
+    }
+    assert!(sent <= 5, "{sent} prompts within a second of the start");
+}
+
+/// Found on manila-assist-later: in cells with many readers and few writers all states had to go far.
+#[test]
+fn homes_lie_rather_in_cells_that_have_writers() {
+    let engines: Vec<Engine> = (1..=4)
+        .map(|id| engine(id, 0, 0))
+        .chain([engine(5, 1, 0), engine(6, 0, 1), engine(7, 0, 1)])
+        .chain((8..=11).map(|id| engine(id, 1, 1)))
+        .collect();
+    let mut host = Host::new(settings(Effect::Safe), 1, engines);
+    let home = |id| {
+        let out = host.ask(Request { shared_prefix: None, ..request(id, 0) });
+        host.tell(Event::ClientGone(RequestId(id)));
+        host.end(id, 0, Outcome::Cancelled);
+        sent_to(&out)
+    };
+    let near = (0..1000).filter_map(home).filter(|reader| [6, 7].contains(reader)).count();
+    assert!((390..620).contains(&near), "{near} of 1000 at two of six readers");
+}
+
 /// Found on manila-assist: writers that had all restarted were pushed over before the list told of it.
 #[test]
 fn an_engine_back_from_where_it_could_not_be_reached_counts_as_cold() {
@@ -465,7 +514,9 @@
     for seed in 0..20 {
         let engines = vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)];
         let mut host = Host::new(settings(Effect::Safe), seed, engines);
-        host.now += ms(5_000);
+        // The last that was heard of reader 1 was that it is idle.
+        host.report(1, 0.0);
+        host.now += ms(1_000);
         host.mute = true;
         let out = host.ask(request(1, 0));
         assert_eq!(sent_to(&out), None, "{out:?}");
