--- a/tests/rules_hold.rs
+++ b/tests/rules_hold.rs
@@ -44,9 +44,14 @@
 
 impl World {
     fn new(settings: Settings, seed: u64) -> Self {
-        let kinds = [0, 0, 0, 1, 1, 1, 2];
-        let engines: BTreeMap<u64, Engine> =
-            (1..=7).map(|id| (id, engine(id, kinds[id as usize - 1], id as u32 % 2))).collect();
+        Self::of(settings, seed, &[0, 0, 0, 1, 1, 1, 2])
+    }
+
+    /// A world of engines of these kinds.
+    fn of(settings: Settings, seed: u64, kinds: &[usize]) -> Self {
+        let engines: BTreeMap<u64, Engine> = (1..=kinds.len() as u64)
+            .map(|id| (id, engine(id, kinds[id as usize - 1], id as u32 % 2)))
+            .collect();
         let host = Host { router: Router::new(settings.clone(), seed), now: ms(50_000), mute: true };
         let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         let (timers, open) = (Vec::new(), BTreeMap::new());
@@ -92,7 +97,7 @@
                     assert!(attempt < self.open[&request.0].attempts, "an attempt never made");
                 }
                 Action::SetTimer { timer, after } => self.timers.push((now + after, timer)),
-                Action::Probe(engine) => assert!(engine.0 <= 7),
+                Action::Probe(engine) => assert!(self.engines.contains_key(&engine.0)),
                 _ => {}
             }
         }
@@ -202,7 +207,7 @@
     }
 
     fn change_list(&mut self) {
-        let id = 1 + self.below(7);
+        let id = 1 + self.below(self.engines.len() as u64);
         let draw = self.below(9);
         let entry = self.engines.get_mut(&id).unwrap();
         (entry.state, entry.started) = match draw {
@@ -234,7 +239,7 @@
                 assert!(actions.is_empty());
             }
             6 => {
-                let engine = EngineId(1 + self.below(7));
+                let engine = EngineId(1 + self.below(self.engines.len() as u64));
                 let outcome = [Outcome::Ok, Outcome::ConnectFailed][self.below(2) as usize];
                 let report = LoadReport::default();
                 let actions = self.host.tell(Event::Probed { engine, outcome, report });
@@ -306,6 +311,21 @@
     }
 }
 
+/// One engine that does all, one of each stage, hundreds.
+#[test]
+fn the_rules_hold_with_one_engine_and_with_hundreds() {
+    let hundreds: Vec<usize> = (0..300).map(|id| id % 3).collect();
+    for (kinds, steps) in [(&[2][..], 6_000), (&[0, 1][..], 6_000), (&hundreds[..], 1_500)] {
+        for routers in [1, 1000] {
+            let mut s = mixed_effects();
+            s.routers = routers;
+            let mut world = World::of(s, 3, kinds);
+            (0..steps).for_each(|_| world.step());
+            assert!(world.sends > 10, "{} sends with {} engines", world.sends, kinds.len());
+        }
+    }
+}
+
 #[test]
 fn the_same_events_give_the_same_actions() {
     let play = || {
