--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,162 @@
+//! `demo`: a small fleet, routers and clients in one process over loopback; plays a day and judges the rules.
+
+use crate::signals::Signals;
+use crate::{lines, Failure, Outcome};
+use slipreel_day::{play_in_memory, play_live, read_day, Day, LiveFleet, Played};
+use slipreel_net::check_loopback;
+use std::io::{IsTerminal, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+const BAD_DAY: &str = include_str!("../../../deploy/days/bad.ini");
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// The day to play; left out, the bad day that comes with the program.
+    #[arg(long)]
+    day: Option<PathBuf>,
+    /// Another seed than the day's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play in memory, in virtual time.
+    #[arg(long)]
+    memory: bool,
+    /// Start the fleet without clients and stay until SIGTERM.
+    #[arg(long)]
+    stay: bool,
+    /// With --stay: where the router listens; a loopback address.
+    #[arg(long)]
+    listen: Option<SocketAddr>,
+    /// With --stay: list the engines with their addresses.
+    #[arg(long)]
+    engines: bool,
+    /// Write what the machines logged, and every broken rule.
+    #[arg(long)]
+    verbose: bool,
+}
+
+fn day_of(args: &Args) -> Result<Day, Failure> {
+    let (text, name) = match &args.day {
+        None => (BAD_DAY.to_owned(), "the bad day".to_owned()),
+        Some(file) => {
+            let name = file.display().to_string();
+            (std::fs::read_to_string(file).map_err(|e| Failure::Input(format!("{name}: {e}")))?, name)
+        }
+    };
+    let mut day = read_day(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))?;
+    if let Some(seed) = args.seed {
+        let text = text.lines().map(|l| if l.starts_with("seed") { format!("seed = {seed}") } else { l.into() });
+        let text = text.collect::<Vec<String>>().join("\n");
+        day = read_day(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))?;
+        day.seed = seed;
+    }
+    Ok(day)
+}
+
+pub(crate) fn run(args: &Args) -> Outcome {
+    if let Some(listen) = args.listen {
+        check_loopback(listen).map_err(|e| Failure::Input(format!("--listen {e}")))?;
+    }
+    let day = day_of(args)?;
+    if args.stay {
+        return stay(args, &day);
+    }
+    println!(
+        "{} engines, {} routers, {} requests in {} s, {} troubles, {}",
+        day.engines.len(),
+        day.routers,
+        day.plans.len(),
+        day.length.as_secs(),
+        day.troubles.len(),
+        if args.memory { "in memory" } else { "over loopback" }
+    );
+    let began = Instant::now();
+    let played = if args.memory {
+        play_in_memory(&day)
+    } else {
+        let progress = progress(day.length);
+        let played = play_live(&day, None).map_err(Failure::Run);
+        progress.end();
+        played?
+    };
+    show(&played, args.verbose, began.elapsed());
+    if played.report().is_clean() && played.leaks == 0 {
+        Ok(())
+    } else {
+        Err(Failure::Run("a rule broke or an answer was wrong".into()))
+    }
+}
+
+fn show(played: &Played, verbose: bool, took: Duration) {
+    print!("{}", played.report());
+    println!("played {:.1} s in {:.1} s; requests still held by routers: {}", played.took.as_secs_f64(), took.as_secs_f64(), played.leaks);
+    if verbose {
+        played.breaks.iter().for_each(|b| println!("{:?} {}: {}", b.at, b.rule, b.what));
+        played.log.iter().for_each(|line| println!("{line}"));
+    }
+}
+
+/// A line on a terminal that tells how far the day is.
+struct Progress {
+    stop: std::sync::mpsc::Sender<()>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl Progress {
+    fn end(self) {
+        drop(self.stop);
+        let _ = self.thread.join();
+    }
+}
+
+fn progress(length: Duration) -> Progress {
+    let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let shows = std::io::stderr().is_terminal();
+    let thread = std::thread::spawn(move || {
+        let began = Instant::now();
+        while let Err(std::sync::mpsc::RecvTimeoutError::Timeout) = stopped.recv_timeout(Duration::from_millis(200)) {
+            if shows {
+                eprint!("\r{:5.1} of {} s ", began.elapsed().as_secs_f64(), length.as_secs());
+                let _ = std::io::stderr().flush();
+            }
+        }
+        if shows {
+            eprint!("\r                    \r");
+        }
+    });
+    Progress { stop, thread }
+}
+
+fn stay(args: &Args, day: &Day) -> Outcome {
+    let signals = Signals::watch()?;
+    let fleet = LiveFleet::start(day, args.listen).map_err(Failure::Run)?;
+    let models: Vec<&str> = day.site.models.iter().map(|m| m.name.as_str()).collect();
+    let key = day.site.tenants.first().and_then(|t| t.keys.first()).cloned().unwrap_or_default();
+    if args.engines {
+        for (plan, addr) in day.engines.iter().zip(&fleet.engine_addrs) {
+            println!("engine {} {:?} {} {} {addr}", plan.spec.name, plan.spec.role, plan.zone, plan.cell);
+        }
+    }
+    let ready = serde_json::json!({"url": format!("http://{}", fleet.targets[0]), "key": key, "models": models});
+    println!("ready {ready}");
+    let _ = std::io::stdout().flush();
+    while !signals.stopped() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (tallies, leaks) = fleet.stop();
+    let sum = |f: fn(&slipreel_front::Tally) -> u64| tallies.iter().map(f).sum::<u64>();
+    eprintln!(
+        "stopped: taken {}, served {}, refused {}, failed {}, left {}; still held {leaks}",
+        sum(|t| t.taken),
+        sum(|t| t.served),
+        sum(|t| t.refused),
+        sum(|t| t.failed),
+        sum(|t| t.left)
+    );
+    if leaks == 0 {
+        Ok(())
+    } else {
+        Err(Failure::Run(format!("{leaks} requests were still held")))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/engine.rs
@@ -0,0 +1,69 @@
+//! `standin`: one stand-in engine on a loopback address.
+
+use crate::signals::Signals;
+use crate::{Failure, Outcome};
+use clap::ValueEnum;
+use slipreel_net::{check_loopback, Clock, Command, Loop, NodeId};
+use slipreel_standin::engine::{Engine, EngineSpec, Role};
+use slipreel_standin::ledger::Ledger;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+/// What a stand-in does.
+#[derive(Clone, Copy, ValueEnum)]
+enum RoleArg {
+    Read,
+    Write,
+    Both,
+}
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// What it does.
+    #[arg(long, value_enum)]
+    role: RoleArg,
+    /// Where it listens; a loopback address.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Requests that run at once.
+    #[arg(long)]
+    slots: Option<usize>,
+    /// Prompt tokens read a second.
+    #[arg(long)]
+    read_per_s: Option<f64>,
+    /// Shortest time between two tokens of an answer, milliseconds.
+    #[arg(long)]
+    step_ms: Option<f64>,
+    /// Start warm, not cold.
+    #[arg(long)]
+    warm: bool,
+}
+
+pub(crate) fn run(args: &Args) -> Outcome {
+    check_loopback(args.listen).map_err(|e| Failure::Input(format!("--listen {e}")))?;
+    let role = match args.role {
+        RoleArg::Read => Role::Read,
+        RoleArg::Write => Role::Write,
+        RoleArg::Both => Role::Both,
+    };
+    let mut spec = EngineSpec::new(&args.listen.to_string(), args.listen, role);
+    spec.slots = args.slots.unwrap_or(spec.slots);
+    spec.read_per_s = args.read_per_s.filter(|r| *r >= 1.0).unwrap_or(spec.read_per_s);
+    let step = args.step_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    spec.step = step.unwrap_or(spec.step);
+    let signals = Signals::watch()?;
+    let clock = Clock::start();
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let make = if args.warm { Engine::warm } else { Engine::new };
+    let mut looped = Loop::new(clock).map_err(|e| Failure::Run(e.to_string()))?;
+    let node = looped.add(make(spec, Ledger::default(), clock.now(), wall));
+    let addr = looped.listen(node, args.listen).map_err(|e| Failure::Run(e.to_string()))?;
+    println!("standin ready on {addr}");
+    let handle = looped.handle();
+    let thread = std::thread::spawn(move || looped.run().map_err(|e| e.to_string()));
+    while !signals.stopped() && !thread.is_finished() {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    handle.tell(Command::Stop(NodeId(0)));
+    thread.join().map_err(|_| Failure::Run("the engine's thread ended by a panic".into()))?.map_err(Failure::Run)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,109 @@
+//! The `slipreel` command: a thin shell over the library crates.
+
+#![forbid(unsafe_code)]
+
+mod demo;
+mod engine;
+mod load;
+mod logs;
+mod serve;
+mod signals;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A router for language-model serving that sends reading and writing to separate engines.
+#[derive(Parser)]
+#[command(name = "slipreel", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a router by its settings.
+    Serve {
+        /// The settings, INI.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Check settings and name every fault.
+    Check {
+        /// The settings, INI.
+        file: PathBuf,
+    },
+    /// Run one stand-in engine.
+    Standin(engine::Args),
+    /// Send requests at a steady rate and measure from when each was due.
+    Load(load::Args),
+    /// Run a small fleet, routers and clients over loopback, and play a day.
+    Demo(demo::Args),
+    /// Print a completion script for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// Why a command ended without success.
+pub(crate) enum Failure {
+    /// The input is wrong; exit code 2.
+    Input(String),
+    /// It did not work, or a rule broke; exit code 1.
+    Run(String),
+}
+
+pub(crate) type Outcome = Result<(), Failure>;
+
+/// Reads settings; all faults at once.
+pub(crate) fn read_settings(file: &Path) -> Result<slipreel_settings::Daemon, Failure> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| Failure::Input(format!("{name}: {e}")))?;
+    slipreel_settings::parse(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))
+}
+
+pub(crate) fn lines(faults: &[slipreel_settings::Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
+fn check(file: &Path) -> Outcome {
+    let daemon = read_settings(file)?;
+    let site = &daemon.site;
+    println!(
+        "{}: {} classes, {} models, {} tenants, {} engines, {} threads",
+        file.display(),
+        site.classes.len(),
+        site.models.len(),
+        site.tenants.len(),
+        site.engines.len(),
+        daemon.threads
+    );
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let outcome = match Cli::parse().command {
+        Command::Serve { config } => serve::run(&config),
+        Command::Check { file } => check(&file),
+        Command::Standin(args) => engine::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Demo(args) => demo::run(&args),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "slipreel", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Input(why)) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+        Err(Failure::Run(why)) => {
+            eprintln!("slipreel: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,140 @@
+//! `serve`: the daemon. One thread a front, each a router of its own on the same port; this thread watches signals
+//! and the list of engines and passes on what changed.
+
+use crate::signals::Signals;
+use crate::{logs, read_settings, Failure, Outcome};
+use slipreel_front::site::EngineSite;
+use slipreel_front::Front;
+use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
+use slipreel_settings::{engines_from_slices, Daemon};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime};
+
+/// How often signals and the file of engines are looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// The list of engines in a file, read again when it changes.
+struct Watched {
+    file: PathBuf,
+    last: String,
+}
+
+impl Watched {
+    /// The engines, if the file has changed and can be read.
+    fn look(&mut self) -> Option<Vec<EngineSite>> {
+        let text = std::fs::read_to_string(&self.file).ok().filter(|t| *t != self.last)?;
+        self.last = text;
+        match engines_from_slices(&self.last) {
+            Ok(engines) => Some(engines),
+            Err(why) => {
+                tracing::warn!(file = %self.file.display(), why, "the list of engines can't be read; it stays as it was");
+                None
+            }
+        }
+    }
+}
+
+fn random_seed() -> u64 {
+    rand::random()
+}
+
+pub(crate) fn run(config: &Path) -> Outcome {
+    let mut daemon = read_settings(config)?;
+    logs::start(daemon.log_format, &daemon.log_level);
+    let signals = Signals::watch()?;
+    let mut watched = daemon.engines_file.clone().map(|file| Watched { file, last: String::new() });
+    if let Some(watched) = &mut watched {
+        let text = std::fs::read_to_string(&watched.file);
+        let text = text.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
+        let engines = engines_from_slices(&text);
+        daemon.site.engines = engines.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
+        watched.last = text;
+    }
+    let (handles, threads) = start(&daemon)?;
+    tracing::info!(listen = %daemon.listen, threads = daemon.threads, engines = daemon.site.engines.len(), "serving");
+    while !signals.stopped() && threads.iter().any(|t| !t.is_finished()) {
+        std::thread::sleep(LOOK);
+        if let Some(list) = watched.as_mut().and_then(Watched::look) {
+            tracing::info!(engines = list.len(), "the list of engines has changed");
+            daemon.site.engines.clone_from(&list);
+            let list = Arc::new(list);
+            handles.iter().for_each(|h| {
+                h.tell(Command::News(NodeId(0), list.clone()));
+            });
+        }
+        if signals.take_reload() {
+            reload(config, &mut daemon, &handles);
+        }
+    }
+    tracing::info!("stopping: requests under way end first");
+    handles.iter().for_each(|h| {
+        h.tell(Command::Stop(NodeId(0)));
+    });
+    for thread in threads {
+        let tally = thread.join().map_err(|_| Failure::Run("a router's thread ended by a panic".into()))?;
+        tracing::info!(
+            taken = tally.taken,
+            served = tally.served,
+            refused = tally.refused,
+            failed = tally.failed,
+            left = tally.left,
+            "stopped"
+        );
+    }
+    Ok(())
+}
+
+type Threads = (Vec<Handle<Front>>, Vec<JoinHandle<slipreel_front::Tally>>);
+
+fn start(daemon: &Daemon) -> Result<Threads, Failure> {
+    let run = |e: std::io::Error| Failure::Run(e.to_string());
+    let clock = Clock::start();
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let (mut handles, mut threads) = (Vec::new(), Vec::new());
+    for n in 0..daemon.threads {
+        let mut site = daemon.site.clone();
+        if daemon.threads > 1 {
+            site.name = format!("{}-{n}", site.name);
+        }
+        let mut looped = Loop::new(clock).map_err(run)?;
+        looped.on_log(move |_, line| tracing::info!(router = n, "{line}"));
+        let node = looped.add(Front::new(Arc::new(site), random_seed(), clock.now(), wall));
+        looped.listen(node, daemon.listen).map_err(|e| Failure::Run(e.to_string()))?;
+        handles.push(looped.handle());
+        let thread = std::thread::Builder::new().name(format!("router-{n}")).spawn(move || {
+            if let Err(why) = looped.run() {
+                tracing::error!(%why, "the event loop failed");
+            }
+            looped.machine(node).tally()
+        });
+        threads.push(thread.map_err(run)?);
+    }
+    Ok((handles, threads))
+}
+
+/// Reads the settings again. A bad file changes nothing; what needs a restart is named.
+fn reload(config: &Path, daemon: &mut Daemon, handles: &[Handle<Front>]) {
+    let mut new = match read_settings(config) {
+        Ok(new) => new,
+        Err(Failure::Input(why) | Failure::Run(why)) => {
+            tracing::warn!(why, "settings can't be read; they stay as they were");
+            return;
+        }
+    };
+    if (new.listen, new.threads) != (daemon.listen, daemon.threads) || new.engines_file != daemon.engines_file {
+        tracing::warn!("listen, threads and engines of [router] change with a restart only");
+    }
+    if new.engines_file.is_some() {
+        new.site.engines.clone_from(&daemon.site.engines);
+    }
+    daemon.site = new.site;
+    for (n, handle) in handles.iter().enumerate() {
+        let mut site = daemon.site.clone();
+        if daemon.threads > 1 {
+            site.name = format!("{}-{n}", site.name);
+        }
+        handle.tell(Command::News(NodeId(0), Arc::new(Arc::new(site))));
+    }
+}
--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,23 @@
+//! Scripted days. A [`Day`] is a fleet of stand-in engines, routers, traffic and troubles. It is played in memory in
+//! virtual time ([`play_in_memory`]) or over loopback sockets ([`play_live`]), by the same director, and the rules are
+//! judged from what clients and engines saw.
+//!
+//! `script` reads a day from INI, `fleet` builds its machines, `trouble` turns troubles into acts at times, `stage`
+//! carries acts out on either driver, `report` counts.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod actor;
+mod fleet;
+mod report;
+mod script;
+mod stage;
+mod trouble;
+
+pub use actor::Actor;
+pub use fleet::{spread_traffic, Day, EnginePlan, Traffic};
+pub use report::{figures_of, Group, Report};
+pub use script::{read_day, DAY_SECTIONS};
+pub use stage::{play_in_memory, play_live, LiveFleet, Played};
+pub use trouble::{Kind, Trouble};
--- /dev/null
+++ b/crates/day/src/stage.rs
@@ -0,0 +1,538 @@
+//! The director: carries out a day's acts at their times on either driver, keeps the list of engines, ends the day.
+
+use crate::actor::Actor;
+use crate::fleet::Day;
+use crate::report::{figures_of, Report};
+use crate::trouble::Act;
+use rand_xoshiro::rand_core::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel::EngineState;
+use slipreel_front::site::EngineSite;
+use slipreel_front::{Front, Tally};
+use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
+use slipreel_rulecheck::{judge, Break, Record, Seen};
+use slipreel_standin::client::{Clients, Result as TryResult};
+use slipreel_standin::engine::Engine;
+use slipreel_standin::gate::{Cut, Gate};
+use slipreel_standin::ledger::Ledger;
+use slipreel_standin::memory::{Delays, World};
+use std::any::Any;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// The clock of a run begins here, in memory as over sockets.
+const START: Duration = Duration::from_secs(1 << 20);
+/// Wall time at the clock's beginning; any will do, as only differences count.
+const WALL: Duration = Duration::from_secs(1_700_000_000);
+/// Between the start of the machines and the first request.
+const LEAD: Duration = Duration::from_millis(500);
+/// After the last arrival all has to be over within this time.
+const TAIL: Duration = Duration::from_secs(120);
+/// Steps in which the end of a day is awaited.
+const STEP: Duration = Duration::from_millis(50);
+
+/// What a day left behind.
+pub struct Played {
+    /// How every try ended, by request and try.
+    pub results: Vec<TryResult>,
+    /// What clients and engines saw.
+    pub records: Vec<Record>,
+    /// The rules that broke.
+    pub breaks: Vec<Break>,
+    /// What the routers counted, those that were still up.
+    pub tallies: Vec<Tally>,
+    /// What the routers still held at the end: requests under way and timers of these. Anything is a leak.
+    pub leaks: usize,
+    /// Lines that the machines wrote.
+    pub log: Vec<String>,
+    /// In memory: a hash over every byte, when and to whom. The same for the same day.
+    pub digest: u64,
+    /// In memory: inputs that machines were given.
+    pub inputs: u64,
+    /// Length of the run on its own clock.
+    pub took: Duration,
+}
+
+impl Played {
+    /// Counts by class and tenant.
+    pub fn report(&self) -> Report {
+        Report::of(self)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Who {
+    Router(usize),
+    Engine(usize),
+}
+
+/// What the director needs of a driver.
+trait Stage {
+    fn now(&self) -> Duration;
+    fn until(&mut self, at: Duration);
+    fn kill(&mut self, who: Who);
+    fn revive(&mut self, who: Who, actor: Actor);
+    fn freeze(&mut self, who: Who, frozen: bool);
+    fn news(&mut self, who: Who, news: Arc<dyn Any + Send + Sync>);
+    fn clients_done(&self) -> bool;
+}
+
+enum Step {
+    Act(Act),
+    /// The list as it was a while ago reaches the routers.
+    List(Vec<EngineSite>),
+}
+
+struct Director<'a> {
+    day: &'a Day,
+    addrs: Vec<SocketAddr>,
+    ledger: Ledger,
+    steps: BTreeMap<(Duration, u64), Step>,
+    seq: u64,
+    alive: Vec<bool>,
+    draining: Vec<bool>,
+    routers_up: Vec<bool>,
+    /// What each router was last told.
+    told: Vec<Vec<EngineSite>>,
+    cut: Option<String>,
+    lives: u64,
+}
+
+impl<'a> Director<'a> {
+    fn new(day: &'a Day, addrs: Vec<SocketAddr>, ledger: Ledger, start: Duration) -> Self {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(day.seed ^ 0x7_0b1e);
+        let n = day.engines.len();
+        let mut director = Director {
+            day,
+            addrs,
+            ledger,
+            steps: BTreeMap::new(),
+            seq: 0,
+            alive: vec![true; n],
+            draining: vec![false; n],
+            routers_up: vec![true; day.routers],
+            told: Vec::new(),
+            cut: None,
+            lives: 0,
+        };
+        director.told = vec![director.list(); day.routers];
+        for trouble in &day.troubles {
+            for (at, act) in trouble.acts(day, &mut rng) {
+                director.step(start + at, Step::Act(act));
+            }
+        }
+        director
+    }
+
+    fn step(&mut self, at: Duration, step: Step) {
+        self.seq += 1;
+        self.steps.insert((at, self.seq), step);
+    }
+
+    /// The list as it is now: who is dead has left it.
+    fn list(&self) -> Vec<EngineSite> {
+        let entry = |e: usize| {
+            let state = if self.draining[e] { EngineState::Draining } else { EngineState::Ready };
+            let mut site = self.day.engines[e].listed(state);
+            site.addr = self.addrs[e];
+            site
+        };
+        (0..self.alive.len()).filter(|&e| self.alive[e]).map(entry).collect()
+    }
+
+    fn engine(&self, e: usize, now: Duration, warm: bool) -> Actor {
+        let mut spec = self.day.engines[e].spec.clone();
+        spec.addr = self.addrs[e];
+        let make = if warm { Engine::warm } else { Engine::new };
+        Actor::Engine(Box::new(Gate::new(make(spec, self.ledger.clone(), now, WALL + now))))
+    }
+
+    fn router(&mut self, r: usize, now: Duration) -> Actor {
+        let mut site = self.day.router_site(r, &self.addrs);
+        site.engines = self.told[r].clone();
+        self.lives += 1;
+        let seed = self.day.seed.wrapping_mul(0x9e37_79b9).wrapping_add(r as u64 + 1000 * self.lives);
+        Actor::Front(Box::new(Gate::new(Front::new(Arc::new(site), seed, now, WALL + now))))
+    }
+
+    /// Plays the day out.
+    fn run(&mut self, stage: &mut impl Stage, start: Duration) {
+        let end = start + self.day.length;
+        loop {
+            let next = self.steps.first_key_value().map(|((at, _), _)| *at);
+            let Some(at) = next else { break };
+            stage.until(at);
+            if let Some((_, step)) = self.steps.pop_first() {
+                self.take(stage, step);
+            }
+        }
+        stage.until(end);
+        while !stage.clients_done() && stage.now() < end + TAIL {
+            let next = stage.now() + STEP;
+            stage.until(next);
+        }
+        // State that nobody took has to be let go of: what the rules allow, and a little.
+        let last = stage.now() + self.day.site.settings.let_go_within * 4;
+        stage.until(last);
+    }
+
+    fn take(&mut self, stage: &mut impl Stage, step: Step) {
+        match step {
+            Step::Act(act) => self.act(stage, act),
+            Step::List(list) => self.tell(stage, &list),
+        }
+    }
+
+    fn act(&mut self, stage: &mut impl Stage, act: Act) {
+        let now = stage.now();
+        match act {
+            Act::Fault(e, fault) => stage.news(Who::Engine(e), Arc::new(fault)),
+            Act::KillEngine(e) => {
+                stage.kill(Who::Engine(e));
+                self.ledger.note(now, Seen::EngineDied(self.day.engines[e].spec.name.clone()));
+                self.alive[e] = false;
+                self.list_changes(now);
+            }
+            Act::ReviveEngine(e) => {
+                let actor = self.engine(e, now, false);
+                stage.revive(Who::Engine(e), actor);
+                self.alive[e] = true;
+                self.list_changes(now);
+                self.cut_links(stage);
+            }
+            Act::FreezeEngine(e, frozen) => stage.freeze(Who::Engine(e), frozen),
+            Act::KillRouter(r) => {
+                stage.kill(Who::Router(r));
+                self.routers_up[r] = false;
+                self.ledger.note(now, Seen::RouterDied(Day::router_name(r)));
+            }
+            Act::ReviveRouter(r) => {
+                let actor = self.router(r, now);
+                stage.revive(Who::Router(r), actor);
+                self.routers_up[r] = true;
+                let list = self.list();
+                self.step(now + self.day.notice, Step::List(list));
+                self.cut_links(stage);
+            }
+            Act::Cut(zone) => {
+                self.cut = zone;
+                self.cut_links(stage);
+            }
+            Act::ListDraining(e, draining) => {
+                self.draining[e] = draining;
+                self.list_changes(now);
+            }
+        }
+    }
+
+    fn list_changes(&mut self, now: Duration) {
+        let list = self.list();
+        self.step(now + self.day.notice, Step::List(list));
+    }
+
+    fn tell(&mut self, stage: &mut impl Stage, list: &[EngineSite]) {
+        let takes = |list: &[EngineSite], e: &EngineSite| {
+            list.iter().any(|l| l.addr == e.addr && l.state == EngineState::Ready)
+        };
+        for r in (0..self.day.routers).filter(|&r| self.routers_up[r]).collect::<Vec<_>>() {
+            let before = std::mem::replace(&mut self.told[r], list.to_vec());
+            let now = stage.now();
+            for e in before.iter().chain(list) {
+                let (was, is) = (takes(&before, e), takes(list, e));
+                if was != is {
+                    let (router, engine) = (Day::router_name(r), e.name.clone());
+                    self.ledger.note(now, Seen::Told { router, engine, closed: !is });
+                }
+            }
+            stage.news(Who::Router(r), Arc::new(list.to_vec()));
+        }
+    }
+
+    /// Tells each machine what it can't reach now.
+    fn cut_links(&self, stage: &mut impl Stage) {
+        let beyond = |zone: &str| -> Cut {
+            let Some(cut) = &self.cut else { return Cut::default() };
+            let far = |e: &usize| (self.day.engines[*e].zone == *cut) != (zone == cut);
+            Cut((0..self.addrs.len()).filter(far).map(|e| self.addrs[e]).collect::<BTreeSet<_>>())
+        };
+        for r in (0..self.day.routers).filter(|&r| self.routers_up[r]) {
+            stage.news(Who::Router(r), Arc::new(beyond(&self.day.router_zone(r))));
+        }
+        for e in (0..self.addrs.len()).filter(|&e| self.alive[e]) {
+            stage.news(Who::Engine(e), Arc::new(beyond(&self.day.engines[e].zone)));
+        }
+    }
+}
+
+fn clients(day: &Day, targets: Vec<SocketAddr>, ledger: Ledger, start: Duration) -> Clients {
+    let mut plans = day.plans.clone();
+    plans.iter_mut().for_each(|p| p.at += start);
+    Clients::new(plans, targets, ledger, true)
+}
+
+fn sorted(mut results: Vec<TryResult>) -> Vec<TryResult> {
+    results.sort_by_key(|r| r.what);
+    results
+}
+
+fn held_by(actor: &Actor) -> Option<(Tally, usize)> {
+    match actor {
+        Actor::Front(gate) => {
+            let (_, _, calls, _) = gate.inner().holds();
+            Some((gate.inner().tally(), calls))
+        }
+        _ => None,
+    }
+}
+
+// ---- In memory ------------------------------------------------------------------------------------
+
+struct InMemory {
+    world: World<Actor>,
+    engines: usize,
+    clients: usize,
+}
+
+impl InMemory {
+    fn node(&self, who: Who) -> usize {
+        match who {
+            Who::Engine(e) => e,
+            Who::Router(r) => self.engines + r,
+        }
+    }
+}
+
+impl Stage for InMemory {
+    fn now(&self) -> Duration {
+        self.world.now()
+    }
+    fn until(&mut self, at: Duration) {
+        self.world.run_until(at);
+    }
+    fn kill(&mut self, who: Who) {
+        self.world.kill(self.node(who));
+    }
+    fn revive(&mut self, who: Who, actor: Actor) {
+        self.world.revive(self.node(who), actor);
+    }
+    fn freeze(&mut self, who: Who, frozen: bool) {
+        self.world.freeze(self.node(who), frozen);
+    }
+    fn news(&mut self, who: Who, news: Arc<dyn Any + Send + Sync>) {
+        self.world.news(self.node(who), &*news);
+    }
+    fn clients_done(&self) -> bool {
+        match self.world.machine(self.clients) {
+            Actor::Clients(c) => c.left() == 0,
+            _ => true,
+        }
+    }
+}
+
+/// Plays a day in memory, in virtual time. The same day gives the same bytes.
+pub fn play_in_memory(day: &Day) -> Played {
+    let ledger = Ledger::default();
+    let addr = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    let addrs: Vec<SocketAddr> = (0..day.engines.len()).map(|e| addr(20_000 + e)).collect();
+    let targets: Vec<SocketAddr> = (0..day.routers).map(|r| addr(10_000 + r)).collect();
+    let start = START + LEAD;
+    let mut director = Director::new(day, addrs.clone(), ledger.clone(), start);
+    let mut world = World::new(START, Delays::default(), day.seed);
+    for (e, addr) in addrs.iter().enumerate() {
+        world.add(director.engine(e, START, true), &[*addr]);
+    }
+    for (r, addr) in targets.iter().enumerate() {
+        world.add(director.router(r, START), &[*addr]);
+    }
+    let clients = world.add(Actor::Clients(Box::new(clients(day, targets, ledger.clone(), start))), &[]);
+    let mut stage = InMemory { world, engines: addrs.len(), clients };
+    director.run(&mut stage, start);
+    let world = stage.world;
+    let results = match world.machine(clients) {
+        Actor::Clients(c) => sorted(c.results().to_vec()),
+        _ => Vec::new(),
+    };
+    let held: Vec<(Tally, usize)> =
+        (0..day.routers).filter_map(|r| held_by(world.machine(addrs.len() + r))).collect();
+    let records = ledger.records();
+    Played {
+        breaks: judge(&records, &figures_of(day)),
+        results,
+        records,
+        tallies: held.iter().map(|h| h.0).collect(),
+        leaks: held.iter().map(|h| h.1).sum(),
+        log: world.log().iter().map(|(at, node, line)| format!("{at:?} {node}: {line}")).collect(),
+        digest: world.digest(),
+        inputs: world.handled(),
+        took: world.now() - START,
+    }
+}
+
+// ---- Over sockets -----------------------------------------------------------------------------------
+
+/// A fleet over loopback sockets: engines on one thread, each router on its own.
+pub struct LiveFleet {
+    clock: Clock,
+    engines: Handle<Actor>,
+    engine_nodes: Vec<NodeId>,
+    routers: Vec<Handle<Actor>>,
+    threads: Vec<JoinHandle<Vec<Actor>>>,
+    clients: Option<JoinHandle<Vec<Actor>>>,
+    log: Arc<std::sync::Mutex<Vec<String>>>,
+    /// Where clients connect.
+    pub targets: Vec<SocketAddr>,
+    /// The engines' addresses, in the order of the day.
+    pub engine_addrs: Vec<SocketAddr>,
+    ledger: Ledger,
+}
+
+fn spawn(mut looped: Loop<Actor>, name: &str) -> std::io::Result<JoinHandle<Vec<Actor>>> {
+    std::thread::Builder::new().name(name.into()).spawn(move || {
+        // An error of epoll itself ends the thread, and its machines count as stopped.
+        let _ = looped.run();
+        looped.into_machines()
+    })
+}
+
+impl LiveFleet {
+    /// Starts engines and routers of a day; `listen` for the first router, the others get free ports.
+    ///
+    /// # Errors
+    /// An address can't be listened on, or the system has no descriptors or threads left.
+    pub fn start(day: &Day, listen: Option<SocketAddr>) -> Result<LiveFleet, String> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let ledger = Ledger::default();
+        let log = Arc::new(std::sync::Mutex::new(Vec::new()));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let text = |e: std::io::Error| e.to_string();
+        let new_loop = || -> Result<Loop<Actor>, String> {
+            let mut looped = Loop::new(clock).map_err(text)?;
+            let log = log.clone();
+            looped.on_log(move |node, line| {
+                if let Ok(mut log) = log.lock() {
+                    log.push(format!("{node:?}: {line}"));
+                }
+            });
+            Ok(looped)
+        };
+        let mut engines = new_loop()?;
+        let (mut engine_nodes, mut addrs) = (Vec::new(), Vec::new());
+        for _ in &day.engines {
+            let node = engines.add(Actor::Idle);
+            addrs.push(engines.listen(node, any).map_err(|e| e.to_string())?);
+            engine_nodes.push(node);
+        }
+        let mut director = Director::new(day, addrs.clone(), ledger.clone(), now);
+        for (e, node) in engine_nodes.iter().enumerate() {
+            *engines.machine_mut(*node) = director.engine(e, now, true);
+        }
+        let (mut routers, mut targets, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+        let engines_handle = engines.handle();
+        threads.push(spawn(engines, "engines").map_err(text)?);
+        for r in 0..day.routers {
+            let mut looped = new_loop()?;
+            let node = looped.add(director.router(r, now));
+            let addr = listen.filter(|_| r == 0).unwrap_or(any);
+            targets.push(looped.listen(node, addr).map_err(|e| e.to_string())?);
+            routers.push(looped.handle());
+            threads.push(spawn(looped, "router").map_err(text)?);
+        }
+        Ok(LiveFleet {
+            clock,
+            engines: engines_handle,
+            engine_nodes,
+            routers,
+            threads,
+            clients: None,
+            log,
+            targets,
+            engine_addrs: addrs,
+            ledger,
+        })
+    }
+
+    /// Tells all routers to stop in good order, waits until they have, and ends the engines.
+    pub fn stop(self) -> (Vec<Tally>, usize) {
+        for router in &self.routers {
+            router.tell(Command::Stop(NodeId(0)));
+        }
+        let mut threads = self.threads.into_iter();
+        let engines = threads.next();
+        let actors: Vec<Actor> = threads.filter_map(|t| t.join().ok()).flatten().collect();
+        self.engines.tell(Command::End);
+        if let Some(engines) = engines {
+            let _ = engines.join();
+        }
+        let held: Vec<(Tally, usize)> = actors.iter().filter_map(held_by).collect();
+        (held.iter().map(|h| h.0).collect(), held.iter().map(|h| h.1).sum())
+    }
+}
+
+impl Stage for LiveFleet {
+    fn now(&self) -> Duration {
+        self.clock.now()
+    }
+    fn until(&mut self, at: Duration) {
+        std::thread::sleep(at.saturating_sub(self.clock.now()));
+    }
+    fn kill(&mut self, who: Who) {
+        match who {
+            Who::Engine(e) => self.engines.tell(Command::Kill(self.engine_nodes[e])),
+            Who::Router(r) => self.routers[r].tell(Command::Kill(NodeId(0))),
+        };
+    }
+    fn revive(&mut self, who: Who, actor: Actor) {
+        match who {
+            Who::Engine(e) => self.engines.tell(Command::Revive(self.engine_nodes[e], actor)),
+            Who::Router(r) => self.routers[r].tell(Command::Revive(NodeId(0), actor)),
+        };
+    }
+    fn freeze(&mut self, who: Who, frozen: bool) {
+        let command = |node| if frozen { Command::Freeze(node) } else { Command::Thaw(node) };
+        match who {
+            Who::Engine(e) => self.engines.tell(command(self.engine_nodes[e])),
+            Who::Router(r) => self.routers[r].tell(command(NodeId(0))),
+        };
+    }
+    fn news(&mut self, who: Who, news: Arc<dyn Any + Send + Sync>) {
+        match who {
+            Who::Engine(e) => self.engines.tell(Command::News(self.engine_nodes[e], news)),
+            Who::Router(r) => self.routers[r].tell(Command::News(NodeId(0), news)),
+        };
+    }
+    fn clients_done(&self) -> bool {
+        self.clients.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+/// Plays a day over loopback sockets, in real time.
+///
+/// # Errors
+/// The system has no addresses, descriptors or threads left.
+pub fn play_live(day: &Day, listen: Option<SocketAddr>) -> Result<Played, String> {
+    let mut fleet = LiveFleet::start(day, listen)?;
+    let ledger = fleet.ledger.clone();
+    let began = fleet.clock.now();
+    let start = began + LEAD;
+    let mut looped = Loop::new(fleet.clock).map_err(|e| e.to_string())?;
+    looped.add(Actor::Clients(Box::new(clients(day, fleet.targets.clone(), ledger.clone(), start))));
+    let handle = looped.handle();
+    fleet.clients = Some(spawn(looped, "clients").map_err(|e| e.to_string())?);
+    let mut director = Director::new(day, fleet.engine_addrs.clone(), ledger.clone(), start);
+    director.run(&mut fleet, start);
+    let took = fleet.clock.now() - began;
+    handle.tell(Command::End);
+    let results = match fleet.clients.take().and_then(|t| t.join().ok()).as_deref() {
+        Some([Actor::Clients(c)]) => sorted(c.results().to_vec()),
+        _ => Vec::new(),
+    };
+    let log = fleet.log.clone();
+    let (tallies, leaks) = fleet.stop();
+    let records = ledger.records();
+    let log = log.lock().map(|l| l.clone()).unwrap_or_default();
+    Ok(Played { breaks: judge(&records, &figures_of(day)), results, records, tallies, leaks, log, digest: 0, inputs: 0, took })
+}
--- /dev/null
+++ b/crates/front/src/carry.rs
@@ -0,0 +1,205 @@
+//! Carries out what the module decides: attempts, cancels, probes, aborts, timers. Decides nothing itself.
+
+use crate::call::Final;
+use crate::front::{Alarm, Decided, Front};
+use crate::link::{Link, State, Use};
+use crate::pool::Slot;
+use slipreel::{Action, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId};
+use slipreel_machine::{ConnId, Output};
+use slipreel_protocol::engine::{self, Load};
+use slipreel_protocol::http::{self, Framing};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Front {
+    pub(crate) fn carry_out(&mut self, generation: u64, action: Decided, out: &mut Vec<Output>) {
+        match action {
+            Action::Send { request, engine, limit } => self.send(request, engine, limit, out),
+            Action::Cancel { request, attempt } => self.cancel(request, attempt, out),
+            Action::Refuse { request, retry_after, over_share } => {
+                self.refuse(request, retry_after, over_share, out);
+            }
+            Action::Fail(request) => self.fail(request, out),
+            Action::Release(request) => self.release(request, out),
+            Action::SetTimer { timer, after } => {
+                self.wheel.set(self.now.saturating_add(after), Alarm::Module(generation, timer));
+            }
+            Action::Probe(engine) => self.probe(engine, out),
+            Action::CloseIdle(engine) => self.close_idle(engine, out),
+            Action::Log(line) => out.push(Output::Log(line)),
+            // The list is pushed to the front; it is at the module's hands already.
+            Action::WatchEngines(_) | Action::FetchEngines => {}
+            // Settings say that there are no peers, places ahead or moved streams; the module asks for none.
+            Action::TellPeer { .. } | Action::Reserve { .. } | Action::MoveStream(_) => {}
+        }
+    }
+
+    fn send(&mut self, id: RequestId, engine: EngineId, limit: Option<Duration>, out: &mut Vec<Output>) {
+        let Some(role) = self.members.role(engine) else { return self.never_sent(id, engine) };
+        let Some(addr) = self.members.addr(engine) else { return self.never_sent(id, engine) };
+        let (now, via) = (self.now, format!("1.1 {}", self.site.name));
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let (attempt, bytes) = call.send(now, engine, addr, role, &via);
+        self.tally.attempts += 1;
+        let read = role == slipreel::Role::Read;
+        let used_for = Use::Attempt { call: id.0, attempt, read };
+        match self.exchange(engine, addr, used_for, bytes, out) {
+            Some(conn) => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.attempts[attempt].conn = Some(conn);
+                }
+                if let Some(limit) = limit {
+                    self.wheel.set(now.saturating_add(limit), Alarm::Attempt(id, attempt));
+                }
+            }
+            // As many connections as the engine may have: it has no room for this router.
+            None => self.ended(id, attempt, Outcome::Full { no_state: false }, 0.0, None),
+        }
+    }
+
+    /// An attempt at an engine that has left the list in this very moment.
+    fn never_sent(&mut self, id: RequestId, engine: EngineId) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let attempt = call.attempts.len();
+        call.attempts.push(crate::call::Attempt { engine, conn: None, sent: now, read: false, out: true });
+        self.ended(id, attempt, Outcome::Moot, 0.0, None);
+    }
+
+    /// Sends bytes to an engine on an idle connection or a new one. `None` if it may have no more.
+    fn exchange(
+        &mut self, engine: EngineId, addr: SocketAddr, used_for: Use, bytes: Vec<u8>, out: &mut Vec<Output>,
+    ) -> Option<ConnId> {
+        let extra = !matches!(used_for, Use::Attempt { .. });
+        let conn = match self.pool.take(engine, self.site.bounds.per_engine, extra) {
+            Slot::Full => return None,
+            Slot::Idle(conn) => {
+                let link = self.links.get_mut(&conn)?;
+                link.reuse(used_for, self.now);
+                out.push(Output::Write(conn, bytes));
+                conn
+            }
+            Slot::Open => {
+                let conn = self.opened();
+                self.links.insert(conn, Link::new(conn, engine, used_for, self.now, bytes));
+                out.push(Output::Connect(conn, addr));
+                conn
+            }
+        };
+        self.arm_link(conn);
+        Some(conn)
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: usize, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        // A stream that has begun is the client's; the module does not cancel it either.
+        if call.begun == Some(attempt) {
+            return;
+        }
+        let Some(conn) = call.attempts.get(attempt).filter(|a| a.out).and_then(|a| a.conn) else { return };
+        let unsent = self.links.get(&conn).is_some_and(|l| l.state == State::Connecting);
+        self.drop_link(conn, out, if unsent { Outcome::Moot } else { Outcome::Cancelled });
+    }
+
+    /// Closes a connection at once; what it carried ends so.
+    pub(crate) fn drop_link(&mut self, conn: ConnId, out: &mut Vec<Output>, outcome: Outcome) {
+        let Some(link) = self.forget_link(conn) else { return };
+        out.push(Output::Abort(conn));
+        self.carried_ended(&link, outcome, out);
+    }
+
+    /// What a connection carried is over.
+    pub(crate) fn carried_ended(&mut self, link: &Link, outcome: Outcome, out: &mut Vec<Output>) {
+        match (link.state, link.used_for) {
+            (State::Idle, _) | (_, Use::Abort) => {}
+            (_, Use::Probe) => self.probed(link.engine, outcome, LoadReport::default()),
+            (_, Use::Attempt { call, attempt, .. }) => {
+                self.attempt_broke(RequestId(call), attempt, outcome, out);
+            }
+        }
+    }
+
+    fn release(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        for (engine, addr, name) in call.release() {
+            let body = engine::abort_body(&name);
+            let host = addr.to_string();
+            let fields = [("host", host.as_str()), ("content-type", "application/json")];
+            let mut bytes = http::request_head("POST", "/abort_requests", &fields, Framing::Length(body.len()));
+            bytes.extend_from_slice(body.as_bytes());
+            self.exchange(engine, addr, Use::Abort, bytes, out);
+        }
+    }
+
+    fn probe(&mut self, engine: EngineId, out: &mut Vec<Output>) {
+        let Some(addr) = self.members.addr(engine) else {
+            return self.probed(engine, Outcome::Moot, LoadReport::default());
+        };
+        let bytes = http::request_head("GET", "/metrics", &[("host", &addr.to_string())], Framing::Length(0));
+        self.tally.probes += 1;
+        if self.exchange(engine, addr, Use::Probe, bytes, out).is_none() {
+            self.probed(engine, Outcome::Moot, LoadReport::default());
+        }
+    }
+
+    pub(crate) fn probed(&mut self, engine: EngineId, outcome: Outcome, report: LoadReport) {
+        self.tell_all(Event::Probed { engine, outcome, report });
+    }
+
+    pub(crate) fn close_idle(&mut self, engine: EngineId, out: &mut Vec<Output>) {
+        for conn in self.pool.idle(engine) {
+            self.forget_link(conn);
+            out.push(Output::Finish(conn));
+        }
+    }
+
+    /// Tells the module how an attempt ended, once.
+    pub(crate) fn ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, kept: f64, load: Option<Load>) {
+        let now = self.now;
+        let report = load.map(|l| self.report(&l)).unwrap_or_default();
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(a) = call.attempts.get_mut(attempt).filter(|a| a.out) else { return };
+        (a.out, a.conn) = (false, None);
+        let latency = now.saturating_sub(a.sent);
+        call.holds_nothing(attempt, outcome);
+        let ended = slipreel::Ended {
+            request: id,
+            attempt,
+            outcome,
+            latency,
+            finished: call.over,
+            kept_tokens: kept,
+            report,
+        };
+        let generation = call.generation;
+        self.reap.push(id);
+        self.tell(generation, Event::Ended(ended));
+    }
+
+    /// A load report as the module takes it; nothing where the site says that answers carry none.
+    pub(crate) fn report(&self, load: &Load) -> LoadReport {
+        if self.site.settings.reports != ReportSource::Answers {
+            return LoadReport::default();
+        }
+        load_report(load)
+    }
+
+    pub(crate) fn final_of(&mut self, id: RequestId, end: Final) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.over = true;
+            self.reap.push(id);
+            self.count(end);
+        }
+    }
+}
+
+/// The published gauges in the module's terms.
+pub(crate) fn load_report(load: &Load) -> LoadReport {
+    LoadReport {
+        in_flight: load.running.zip(load.waiting).map(|(running, waiting)| running + waiting),
+        queued: load.waiting,
+        slot_share: None,
+        memory_share: load.memory,
+        waiting_tokens: None,
+    }
+}
--- /dev/null
+++ b/crates/front/src/client.rs
@@ -0,0 +1,168 @@
+//! A connection of a client: the server side of HTTP, one request at a time.
+//!
+//! States and their time-outs: `Idle` (`client_idle`), `Receiving` head and body (`receive` each), `Serving` (the
+//! request's own deadlines), `Closing`. Pipelined requests wait in the decoder until the one before is answered.
+
+use slipreel_machine::{ConnId, Output};
+use slipreel_protocol::http::{self, Decoder, Framing, Head, Item, Limits, Malformed, Side, Start};
+use std::time::Duration;
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    /// Between requests.
+    Idle,
+    /// Some of a request has come.
+    Receiving,
+    /// A request is whole and not answered. The number is that of its call, if it became one.
+    Serving(Option<u64>),
+}
+
+/// A whole request.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub(crate) head: Head,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Received {
+    pub(crate) fn method(&self) -> &str {
+        match &self.head.start {
+            Start::Request { method, .. } => method,
+            Start::Response { .. } => "",
+        }
+    }
+
+    /// The target without its query.
+    pub(crate) fn path(&self) -> &str {
+        match &self.head.start {
+            Start::Request { target, .. } => target.split(['?', '#']).next().unwrap_or(target),
+            Start::Response { .. } => "",
+        }
+    }
+}
+
+/// One client connection.
+#[derive(Debug)]
+pub(crate) struct Client {
+    pub(crate) conn: ConnId,
+    pub(crate) state: State,
+    decoder: Decoder,
+    head: Option<Head>,
+    body: Vec<u8>,
+    /// Whether the connection stays open after the present answer.
+    keep: bool,
+    /// Written and not yet gone.
+    pub(crate) unsent: usize,
+    /// When some of it last went.
+    pub(crate) moved: Duration,
+    /// Since when the present state lasts: its time-out counts from here.
+    pub(crate) since: Duration,
+    pub(crate) eof: bool,
+    /// No more data is wanted: pipelined requests fill the buffer.
+    paused: bool,
+    most_ahead: usize,
+}
+
+impl Client {
+    pub(crate) fn new(conn: ConnId, now: Duration, limits: Limits, most_ahead: usize) -> Self {
+        Client {
+            conn,
+            state: State::Idle,
+            decoder: Decoder::new(Side::Server, limits),
+            head: None,
+            body: Vec::new(),
+            keep: true,
+            unsent: 0,
+            moved: now,
+            since: now,
+            eof: false,
+            paused: false,
+            most_ahead,
+        }
+    }
+
+    /// Takes bytes. While a request is served they wait, up to a bound; then the connection is paused.
+    pub(crate) fn feed(&mut self, now: Duration, bytes: &[u8], out: &mut Vec<Output>) {
+        self.decoder.feed(bytes);
+        if self.state == State::Idle {
+            (self.state, self.since) = (State::Receiving, now);
+        }
+        let serving = matches!(self.state, State::Serving(_));
+        if serving && !self.paused && self.decoder.buffered() > self.most_ahead {
+            self.paused = true;
+            out.push(Output::Pause(self.conn));
+        }
+    }
+
+    /// The next whole request, if the bytes so far hold one and none is being served.
+    pub(crate) fn receive(&mut self, now: Duration, out: &mut Vec<Output>) -> Result<Option<Received>, Malformed> {
+        if matches!(self.state, State::Serving(_)) {
+            return Ok(None);
+        }
+        while let Some(item) = self.decoder.next_item()? {
+            match item {
+                Item::Head(head) => {
+                    (self.state, self.since) = (State::Receiving, now);
+                    self.keep = head.keep_alive;
+                    if head.expects_continue && head.http11 && self.decoder.buffered() == 0 {
+                        self.write(http::CONTINUE.to_vec(), out);
+                    }
+                    self.head = Some(head);
+                }
+                Item::Body(piece) => self.body.extend_from_slice(&piece),
+                Item::End => {
+                    let Some(head) = self.head.take() else { continue };
+                    (self.state, self.since) = (State::Serving(None), now);
+                    return Ok(Some(Received { head, body: std::mem::take(&mut self.body) }));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    pub(crate) fn write(&mut self, bytes: Vec<u8>, out: &mut Vec<Output>) {
+        if !bytes.is_empty() {
+            self.unsent += bytes.len();
+            out.push(Output::Write(self.conn, bytes));
+        }
+    }
+
+    /// Writes a whole answer. `done` has to follow.
+    pub(crate) fn answer(&mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
+        let connection = if self.keep { "keep-alive" } else { "close" };
+        let mut all = vec![("content-type", "application/json"), ("connection", connection)];
+        all.extend_from_slice(fields);
+        let mut bytes = http::response_head(status, &all, Framing::Length(body.len()));
+        bytes.extend_from_slice(body);
+        self.write(bytes, out);
+    }
+
+    /// Writes the head of a streamed answer.
+    pub(crate) fn begin_stream(&mut self, fields: &[(&str, &str)], out: &mut Vec<Output>) {
+        let connection = if self.keep { "keep-alive" } else { "close" };
+        let mut all =
+            vec![("content-type", "text/event-stream"), ("cache-control", "no-cache"), ("connection", connection)];
+        all.extend_from_slice(fields);
+        self.write(http::response_head(200, &all, Framing::Chunked), out);
+    }
+
+    /// The present answer is the last on this connection.
+    pub(crate) fn last_answer(&mut self) {
+        self.keep = false;
+    }
+
+    /// The answer is written: the next request may be read, or the connection ends. Whether it goes on.
+    pub(crate) fn done(&mut self, now: Duration, out: &mut Vec<Output>) -> bool {
+        if !self.keep || (self.eof && self.decoder.idle()) {
+            out.push(Output::Finish(self.conn));
+            return false;
+        }
+        self.state = if self.decoder.idle() { State::Idle } else { State::Receiving };
+        self.since = now;
+        if std::mem::take(&mut self.paused) {
+            out.push(Output::Resume(self.conn));
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,415 @@
+//! The front as a machine: takes inputs in turn, fires timers, and lets the module decide until nothing is left.
+
+use crate::call::{Call, Final};
+use crate::client::{Client, State as ClientState};
+use crate::limits;
+use crate::link::{Link, State as LinkState, Use};
+use crate::members::Members;
+use crate::pool::Pool;
+use crate::site::{EngineSite, Site};
+use crate::wheel::{TimerKey, Wheel};
+use slipreel::{Action, EngineId, Event, Listing, RequestId, Router, TimerId};
+use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How many requests ended how, and what the front holds. Counters only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests told to the module.
+    pub taken: u64,
+    /// Final answers by kind.
+    pub served: u64,
+    /// Turned away by the module.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Clients that left before their answer ended.
+    pub left: u64,
+    /// Answered without the module: bad input, unknown paths, the front's own bounds.
+    pub turned: u64,
+    /// Attempts sent to engines.
+    pub attempts: u64,
+    /// Probes sent.
+    pub probes: u64,
+}
+
+/// Why a timer was set.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Alarm {
+    /// A router's own timer, with its generation.
+    Module(u64, TimerId),
+    Client(ConnId),
+    Link(ConnId),
+    /// An attempt's time-out, where the module gives one.
+    Attempt(RequestId, usize),
+    /// A client that waits for a whole answer gives up.
+    Whole(RequestId),
+    /// Time to end what still runs after a stop.
+    StopBy,
+}
+
+/// A router and the site that it was made from. After a reload the older one ends what it has taken.
+pub(crate) struct Brain {
+    pub(crate) generation: u64,
+    pub(crate) router: Router,
+}
+
+/// A router between clients and engines, without I/O and clock.
+///
+/// Takes as [`Input::News`]: `Vec<EngineSite>`, the complete list of engines; `Arc<Site>`, new settings.
+pub struct Front {
+    pub(crate) now: Duration,
+    pub(crate) site: Arc<Site>,
+    pub(crate) seed: u64,
+    /// Clock of the front at the epoch of wall time, if that is after the epoch: start times are told in wall time.
+    pub(crate) epoch_ahead: Duration,
+    pub(crate) brains: Vec<Brain>,
+    pub(crate) members: Members,
+    pub(crate) clients: HashMap<ConnId, Client>,
+    client_alarms: HashMap<ConnId, TimerKey>,
+    pub(crate) links: HashMap<ConnId, Link>,
+    link_alarms: HashMap<ConnId, TimerKey>,
+    pub(crate) pool: Pool,
+    pub(crate) calls: BTreeMap<RequestId, Call>,
+    pub(crate) wheel: Wheel<Alarm>,
+    /// What the module is to be told, and by whose router; `None`: all.
+    pub(crate) events: VecDeque<(Option<u64>, Event)>,
+    pub(crate) reap: Vec<RequestId>,
+    /// Engine connections whose client has left.
+    pub(crate) orphans: Vec<ConnId>,
+    pub(crate) next_conn: u64,
+    pub(crate) next_call: u64,
+    pub(crate) stopping: bool,
+    stopped: bool,
+    pub(crate) tally: Tally,
+}
+
+impl Front {
+    /// A front at its start. `seed` settles its chances and begins its request ids, so it is to be a new one at
+    /// each start. `wall` is the wall clock, since the epoch, at the clock's time `now`.
+    pub fn new(site: Arc<Site>, seed: u64, now: Duration, wall: Duration) -> Self {
+        let mut front = Front {
+            now,
+            seed,
+            epoch_ahead: wall.saturating_sub(now),
+            brains: Vec::new(),
+            members: Members::default(),
+            clients: HashMap::new(),
+            client_alarms: HashMap::new(),
+            links: HashMap::new(),
+            link_alarms: HashMap::new(),
+            pool: Pool::default(),
+            calls: BTreeMap::new(),
+            wheel: Wheel::default(),
+            events: VecDeque::new(),
+            reap: Vec::new(),
+            orphans: Vec::new(),
+            next_conn: 0,
+            next_call: 0,
+            stopping: false,
+            stopped: false,
+            tally: Tally::default(),
+            site: site.clone(),
+        };
+        front.add_brain(site.clone());
+        let (event, _) = front.members.replace(now, &site.engines);
+        // A router comes up with the list that it is given, which may be old.
+        if let Event::Engines { engines, .. } = event {
+            front.events.push_back((None, Event::Engines { listing: Listing::Cached, engines }));
+        }
+        front
+    }
+
+    /// What it has done so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// What it holds: client connections, engine connections, requests under way, timers.
+    pub fn holds(&self) -> (usize, usize, usize, usize) {
+        (self.clients.len(), self.links.len(), self.calls.len(), self.wheel.len())
+    }
+
+    fn add_brain(&mut self, site: Arc<Site>) {
+        let generation = self.brains.last().map_or(0, |b| b.generation + 1);
+        let mut settings = site.settings.clone();
+        settings.zone = self.members.zone(&site.zone);
+        let router = Router::new(settings, self.seed.wrapping_add(generation));
+        self.brains.push(Brain { generation, router });
+        self.site = site;
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.brains.last().map_or(0, |b| b.generation)
+    }
+
+    /// Tells the router that a call belongs to.
+    pub(crate) fn tell(&mut self, generation: u64, event: Event) {
+        self.events.push_back((Some(generation), event));
+    }
+
+    /// Tells all routers.
+    pub(crate) fn tell_all(&mut self, event: Event) {
+        self.events.push_back((None, event));
+    }
+
+    pub(crate) fn opened(&mut self) -> ConnId {
+        self.next_conn += 1;
+        ConnId::opened(self.next_conn)
+    }
+
+    /// Lets the module decide until it has been told all; then forgets calls that are done.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        self.drop_orphans(out);
+        while let Some((to, event)) = self.events.pop_front() {
+            for at in 0..self.brains.len() {
+                let generation = self.brains[at].generation;
+                if to.is_some_and(|to| to != generation) {
+                    continue;
+                }
+                self.brains[at].router.handle(self.now, event.clone(), &mut actions);
+                for action in std::mem::take(&mut actions) {
+                    self.carry_out(generation, action, out);
+                }
+            }
+        }
+        for id in std::mem::take(&mut self.reap) {
+            if self.calls.get(&id).is_some_and(Call::is_done) {
+                self.calls.remove(&id);
+            }
+        }
+        if self.brains.len() > 1 {
+            let current = self.generation();
+            let calls = &self.calls;
+            let used = |b: &Brain| b.generation == current || calls.values().any(|c| c.generation == b.generation);
+            self.brains.retain(used);
+        }
+        if self.stopping && !self.stopped && self.calls.is_empty() && self.clients.is_empty() {
+            self.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    // ---- Timers -----------------------------------------------------------------------------
+
+    /// When a connection of a client has to have moved on, by its state.
+    fn client_due(&self, client: &Client) -> Option<Duration> {
+        let bounds = &self.site.bounds;
+        let stalled = (client.unsent > 0).then(|| client.moved + bounds.stalled_peer);
+        let due = match client.state {
+            ClientState::Idle => Some(client.since + bounds.client_idle),
+            ClientState::Receiving => Some(client.since + bounds.receive),
+            ClientState::Serving(_) => None,
+        };
+        due.into_iter().chain(stalled).min()
+    }
+
+    /// When a connection to an engine has to have moved on, by its state.
+    fn link_due(&self, link: &Link) -> Option<Duration> {
+        let bounds = &self.site.bounds;
+        match (link.state, link.used_for) {
+            (LinkState::Connecting, _) => Some(link.since + self.site.settings.limits.connect_timeout),
+            (LinkState::Idle, _) => Some(link.since + bounds.engine_idle),
+            (LinkState::Busy, Use::Probe | Use::Abort) => Some(link.since + bounds.probe),
+            (LinkState::Busy, Use::Attempt { call, attempt, .. }) => {
+                let begun = self.calls.get(&RequestId(call)).is_some_and(|c| c.begun == Some(attempt));
+                (begun && !link.paused).then(|| link.since + bounds.silent_stream)
+            }
+        }
+    }
+
+    /// Sets the timer of a client's connection by its state.
+    pub(crate) fn arm_client(&mut self, conn: ConnId) {
+        let due = self.clients.get(&conn).and_then(|c| self.client_due(c));
+        arm(&mut self.wheel, &mut self.client_alarms, conn, due, Alarm::Client(conn));
+    }
+
+    /// Sets the timer of an engine's connection by its state.
+    pub(crate) fn arm_link(&mut self, conn: ConnId) {
+        let due = self.links.get(&conn).and_then(|l| self.link_due(l));
+        arm(&mut self.wheel, &mut self.link_alarms, conn, due, Alarm::Link(conn));
+    }
+
+    fn fire(&mut self, alarm: Alarm, out: &mut Vec<Output>) {
+        match alarm {
+            Alarm::Module(generation, timer) => self.tell(generation, Event::Timer(timer)),
+            Alarm::Client(conn) => {
+                self.client_alarms.remove(&conn);
+                let due = self.clients.get(&conn).and_then(|c| self.client_due(c));
+                match due {
+                    Some(at) if at <= self.now => self.client_late(conn, out),
+                    _ => self.arm_client(conn),
+                }
+            }
+            Alarm::Link(conn) => {
+                self.link_alarms.remove(&conn);
+                let due = self.links.get(&conn).and_then(|l| self.link_due(l));
+                match due {
+                    Some(at) if at <= self.now => self.link_late(conn, out),
+                    _ => self.arm_link(conn),
+                }
+            }
+            Alarm::Attempt(id, attempt) => self.attempt_late(id, attempt, out),
+            Alarm::Whole(id) => self.whole_late(id, out),
+            Alarm::StopBy => self.stop_by(out),
+        }
+    }
+
+    fn run_timers(&mut self, out: &mut Vec<Output>) {
+        while let Some(alarm) = self.wheel.pop(self.now) {
+            self.fire(alarm, out);
+            self.settle(out);
+        }
+    }
+
+    // ---- News ---------------------------------------------------------------------------------
+
+    fn take_list(&mut self, list: &[EngineSite], out: &mut Vec<Output>) {
+        let (event, closed) = self.members.replace(self.now, list);
+        self.tell_all(event);
+        // What has not left for an engine that drains or is gone goes elsewhere.
+        let unsent: Vec<ConnId> = self.sorted_links(|l| {
+            closed.contains(&l.engine) && l.state == LinkState::Connecting && matches!(l.used_for, Use::Attempt { .. })
+        });
+        for conn in unsent {
+            self.drop_link(conn, out, slipreel::Outcome::Moot);
+        }
+        for engine in closed {
+            self.close_idle(engine, out);
+        }
+    }
+
+    fn take_site(&mut self, site: &Arc<Site>, out: &mut Vec<Output>) {
+        let listed = self.site.engines != site.engines;
+        self.add_brain(site.clone());
+        if listed {
+            self.take_list(&site.engines.clone(), out);
+        } else {
+            let current: Vec<EngineSite> = self.members.iter().map(|(_, m)| m.site.clone()).collect();
+            self.take_list(&current, out);
+        }
+        out.push(Output::Log("settings were read again; requests under way end by the old ones".into()));
+    }
+
+    /// Connections to engines that match, in order of their numbers: the same at every run.
+    pub(crate) fn sorted_links(&self, which: impl Fn(&Link) -> bool) -> Vec<ConnId> {
+        let mut conns: Vec<ConnId> = self.links.values().filter(|l| which(l)).map(|l| l.conn).collect();
+        conns.sort();
+        conns
+    }
+
+    fn stop(&mut self, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        let mut conns: Vec<ConnId> = self.clients.keys().copied().collect();
+        conns.sort();
+        for conn in conns {
+            let Some(client) = self.clients.get_mut(&conn) else { continue };
+            match client.state {
+                ClientState::Idle => {
+                    out.push(Output::Finish(conn));
+                    self.forget_client(conn);
+                }
+                _ => client.last_answer(),
+            }
+        }
+        self.wheel.set(self.now + self.site.bounds.stop, Alarm::StopBy);
+    }
+
+    pub(crate) fn forget_client(&mut self, conn: ConnId) {
+        self.clients.remove(&conn);
+        if let Some(key) = self.client_alarms.remove(&conn) {
+            self.wheel.cancel(key);
+        }
+    }
+
+    pub(crate) fn forget_link(&mut self, conn: ConnId) -> Option<Link> {
+        if let Some(key) = self.link_alarms.remove(&conn) {
+            self.wheel.cancel(key);
+        }
+        let link = self.links.remove(&conn)?;
+        self.pool.gone(link.engine, conn);
+        Some(link)
+    }
+
+    pub(crate) fn count(&mut self, end: Final) {
+        match end {
+            Final::Served => self.tally.served += 1,
+            Final::Refused => self.tally.refused += 1,
+            Final::Failed => self.tally.failed += 1,
+        }
+    }
+
+    pub(crate) fn engine_name(&self, id: EngineId) -> String {
+        self.members.get(id).map_or_else(|| format!("{:x}", id.0), |m| m.site.name.clone())
+    }
+}
+
+fn arm(
+    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>, alarm: Alarm,
+) {
+    if let Some(key) = keys.remove(&conn) {
+        wheel.cancel(key);
+    }
+    if let Some(at) = due {
+        keys.insert(conn, wheel.set(at, alarm));
+    }
+}
+
+impl Machine for Front {
+    fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        // What is due comes before what has just come in, whatever order the driver found them in.
+        self.run_timers(out);
+        match input {
+            Input::Accepted(conn) => {
+                let limits = slipreel_protocol::http::Limits { body: self.site.bounds.body, ..Default::default() };
+                if self.stopping || self.clients.len() >= self.site.bounds.connections {
+                    out.push(Output::Abort(conn));
+                } else {
+                    self.clients.insert(conn, Client::new(conn, self.now, limits, limits::PIPELINED));
+                    self.arm_client(conn);
+                }
+            }
+            Input::Connected(conn) => self.link_connected(conn, out),
+            Input::Data(conn, bytes) if conn.is_opened() => self.link_data(conn, bytes, out),
+            Input::Data(conn, bytes) => self.client_data(conn, bytes, out),
+            Input::Eof(conn) if conn.is_opened() => self.link_eof(conn, out),
+            Input::Eof(conn) => self.client_eof(conn, out),
+            Input::Sent(conn, n) if !conn.is_opened() => self.client_sent(conn, n, out),
+            Input::Sent(..) => {}
+            Input::Lost(conn, why) if conn.is_opened() => self.link_lost(conn, why, out),
+            Input::Lost(conn, _) => self.client_gone(conn),
+            Input::Wake => {}
+            Input::Stop => self.stop(out),
+            Input::News(news) => {
+                if let Some(list) = news.downcast_ref::<Vec<EngineSite>>() {
+                    self.take_list(list, out);
+                } else if let Some(site) = news.downcast_ref::<Arc<Site>>() {
+                    self.take_site(site, out);
+                }
+            }
+        }
+        self.settle(out);
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        self.wheel.next_at()
+    }
+}
+
+/// What the loss of a connection that carried something means for the module.
+pub(crate) fn loss_outcome(loss: Loss) -> slipreel::Outcome {
+    match loss {
+        Loss::NotConnected => slipreel::Outcome::ConnectFailed,
+        Loss::Exhausted => slipreel::Outcome::Moot,
+        Loss::Reset => slipreel::Outcome::Reset,
+    }
+}
+
+/// Carried by [`Front::carry_out`]; here so that the two files name one type.
+pub(crate) type Decided = Action;
--- /dev/null
+++ b/crates/front/src/limits.rs
@@ -0,0 +1,157 @@
+//! What the front itself turns away, so that its own memory and descriptors are bounded whatever comes.
+//!
+//! None of this looks at load or worth: that is the module's affair. These are the smallest bounds that keep the
+//! process alive, and what they turn away was never told to the module.
+
+use crate::site::{Bounds, KINDS};
+use slipreel::{Limits, ReportSource, Settings, ZoneId};
+use std::time::Duration;
+
+/// When to come back after one of these bounds turned a request away. Long enough for a few requests to end.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(1_000);
+/// Bytes of pipelined requests that are kept while one is served.
+pub(crate) const PIPELINED: usize = 64 << 10;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+impl Default for Bounds {
+    /// Starting values for one thread on a small machine: some 20,000 streams of 64 KiB at the very most.
+    fn default() -> Self {
+        Bounds {
+            connections: 20_000,
+            requests: 20_000,
+            body: 32 << 20,
+            unsent: 64 << 10,
+            per_engine: 1_024,
+            idle_per_engine: 64,
+            // Below the idle time of common servers, so that they seldom close first.
+            engine_idle: ms(4_000),
+            client_idle: ms(60_000),
+            receive: ms(10_000),
+            stalled_peer: ms(30_000),
+            silent_stream: ms(20_000),
+            probe: ms(250),
+            stop: ms(30_000),
+            half_close: false,
+        }
+    }
+}
+
+/// Starting values of a class that says nothing of its own.
+pub struct StartingClass {
+    /// First-token aim of an empty prompt.
+    pub aim: Duration,
+    /// What it grows by for each 1,000 prompt tokens.
+    pub aim_per_1000: Duration,
+    /// How long clients wait for the beginning.
+    pub patience: Duration,
+    /// How long repeats of a key are remembered.
+    pub window: Duration,
+}
+
+/// Starting values of a class: those of a chat.
+pub fn starting_class() -> StartingClass {
+    StartingClass { aim: ms(1_000), aim_per_1000: ms(40), patience: ms(6_000), window: ms(5_000) }
+}
+
+/// Starting values of what the module is handed, without classes and tenants: one router, what the brief's sites have
+/// in common.
+pub fn starting_settings() -> Settings {
+    Settings {
+        routers: 1,
+        zone: ZoneId(0),
+        tick: ms(5),
+        classes: Vec::new(),
+        tenants: Vec::new(),
+        over_share_worth: 0.05,
+        kinds: KINDS.to_vec(),
+        writers_read: false,
+        ask_for_engines: false,
+        reports: ReportSource::Answers,
+        limits: Limits {
+            attempts: 6,
+            cancel: true,
+            probes: true,
+            second_copies: false,
+            retry_after: Some(ms(2_000)),
+            connect_timeout: ms(250),
+        },
+        cold_share: 0.3,
+        cold_time: ms(13_000),
+        let_go_within: ms(500),
+    }
+}
+
+/// Why the front does not take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turned {
+    /// As many as may be under way are.
+    Requests,
+    /// It is stopping.
+    Stopping,
+}
+
+/// Whether one more request may be taken.
+pub(crate) fn may_take(bounds: &Bounds, under_way: usize, stopping: bool) -> Result<(), Turned> {
+    if stopping {
+        return Err(Turned::Stopping);
+    }
+    if under_way >= bounds.requests {
+        return Err(Turned::Requests);
+    }
+    Ok(())
+}
+
+/// Whether the source of what waits for a peer is to be paused, given whether it is: some hysteresis, so that a
+/// peer of steady pace does not make it change with each write.
+pub(crate) fn pauses(bounds: &Bounds, unsent: usize, paused: bool) -> bool {
+    if paused {
+        unsent > bounds.unsent / 2
+    } else {
+        unsent > bounds.unsent
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bounds() -> Bounds {
+        let s = Duration::from_secs(1);
+        Bounds {
+            connections: 10,
+            requests: 2,
+            body: 100,
+            unsent: 1000,
+            per_engine: 4,
+            idle_per_engine: 2,
+            engine_idle: s,
+            client_idle: s,
+            receive: s,
+            stalled_peer: s,
+            silent_stream: s,
+            probe: s,
+            stop: s,
+            half_close: false,
+        }
+    }
+
+    #[test]
+    fn takes_up_to_the_bound_and_nothing_when_stopping() {
+        let b = bounds();
+        assert_eq!(may_take(&b, 1, false), Ok(()));
+        assert_eq!(may_take(&b, 2, false), Err(Turned::Requests));
+        assert_eq!(may_take(&b, 0, true), Err(Turned::Stopping));
+    }
+
+    #[test]
+    fn a_paused_source_goes_on_at_half() {
+        let b = bounds();
+        let steps = [(1000, false, false), (1001, false, true), (501, true, true), (500, true, false)];
+        for (unsent, paused, expected) in steps {
+            assert_eq!(pauses(&b, unsent, paused), expected, "{unsent} {paused}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/link.rs
@@ -0,0 +1,207 @@
+//! A connection to an engine: the client side of HTTP, one exchange at a time, and what its bytes mean.
+//!
+//! States and their time-outs: `Connecting` (the module's connect time), `Busy` (the exchange's own: the module's
+//! patience for attempts, `probe` for probes and aborts, `silent_stream` once an answer has begun), `Idle`
+//! (`engine_idle`).
+
+use serde_json::Value;
+use slipreel::EngineId;
+use slipreel_machine::ConnId;
+use slipreel_protocol::engine::{self, Chunk, Load, Usage};
+use slipreel_protocol::http::{Decoder, Item, Limits, Side, Start};
+use slipreel_protocol::sse;
+use std::time::Duration;
+
+/// The longest answer to a read, a probe or a failure, and the longest event of a stream, bytes.
+const LONGEST_BODY: usize = 256 << 10;
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Use {
+    /// An attempt: of which call, which of its attempts, and whether it reads only.
+    Attempt { call: u64, attempt: usize, read: bool },
+    /// A probe of the engine's load.
+    Probe,
+    /// An abort call, whose answer does not matter.
+    Abort,
+}
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    Connecting,
+    Busy,
+    Idle,
+}
+
+/// What the bytes of an exchange said.
+#[derive(Debug)]
+pub(crate) enum Said {
+    /// The head of an answer came, with a load report if there is one.
+    Report(Load),
+    /// The prompt is read.
+    Read { transfer: Value, usage: Usage },
+    /// A part of a streamed answer.
+    Chunk(Chunk),
+    /// The stream's end mark.
+    Done,
+    /// A probe was answered.
+    Load(Load),
+    /// Turned away; it never ran.
+    Full { no_state: bool },
+    /// The engine says that the request is wrong: status and message.
+    Wrong(u16, String),
+    /// The engine failed, or what it said can't be read.
+    Failed(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Body {
+    None,
+    Whole(u16),
+    Stream,
+}
+
+/// One connection to an engine.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) conn: ConnId,
+    pub(crate) engine: EngineId,
+    pub(crate) state: State,
+    pub(crate) used_for: Use,
+    /// Since when the state lasts; in an answer: when it last said something.
+    pub(crate) since: Duration,
+    /// Written when the connection stands.
+    pub(crate) pending: Vec<u8>,
+    pub(crate) paused: bool,
+    /// What the head of the present answer told of load.
+    pub(crate) load: Option<Load>,
+    decoder: Decoder,
+    events: sse::Decoder,
+    body: Body,
+    held: Vec<u8>,
+    /// The exchange is over and the connection can be used again.
+    pub(crate) reusable: bool,
+}
+
+impl Link {
+    pub(crate) fn new(conn: ConnId, engine: EngineId, used_for: Use, now: Duration, pending: Vec<u8>) -> Self {
+        let limits = Limits { body: u64::MAX, ..Limits::default() };
+        Link {
+            conn,
+            engine,
+            state: State::Connecting,
+            used_for,
+            since: now,
+            pending,
+            paused: false,
+            load: None,
+            decoder: Decoder::new(Side::Client, limits),
+            events: sse::Decoder::new(LONGEST_BODY),
+            body: Body::None,
+            held: Vec::new(),
+            reusable: false,
+        }
+    }
+
+    /// Starts another exchange on an idle connection.
+    pub(crate) fn reuse(&mut self, used_for: Use, now: Duration) {
+        (self.used_for, self.state, self.since, self.reusable) = (used_for, State::Busy, now, false);
+        (self.events, self.load) = (sse::Decoder::new(LONGEST_BODY), None);
+    }
+
+    /// Takes bytes and appends what they say. After `Failed` the connection is of no use.
+    pub(crate) fn feed(&mut self, bytes: &[u8], out: &mut Vec<Said>) {
+        self.decoder.feed(bytes);
+        loop {
+            match self.decoder.next_item() {
+                Ok(None) => return,
+                Ok(Some(item)) => self.item(item, out),
+                Err(why) => return out.push(Said::Failed(why.to_string())),
+            }
+            if matches!(out.last(), Some(Said::Failed(_))) {
+                return;
+            }
+        }
+    }
+
+    /// The engine sends no more. Whether that ends the exchange in order.
+    pub(crate) fn eof(&mut self, out: &mut Vec<Said>) -> bool {
+        match self.decoder.eof() {
+            Ok(Some(item)) => {
+                self.item(item, out);
+                self.reusable = false;
+                true
+            }
+            Ok(None) | Err(_) => false,
+        }
+    }
+
+    fn item(&mut self, item: Item, out: &mut Vec<Said>) {
+        match item {
+            Item::Head(head) => {
+                let Start::Response { status } = head.start else { return };
+                if status < 200 {
+                    self.body = Body::None;
+                    return;
+                }
+                if let Some(report) = head.get("endpoint-load-metrics") {
+                    out.push(Said::Report(engine::orca(report)));
+                }
+                self.reusable = head.keep_alive;
+                let streams = head.get("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
+                let writes = matches!(self.used_for, Use::Attempt { read: false, .. });
+                self.body = if status == 200 && writes && streams { Body::Stream } else { Body::Whole(status) };
+            }
+            Item::Body(piece) if self.body == Body::Stream => self.stream(&piece, out),
+            Item::Body(piece) => {
+                self.held.extend_from_slice(&piece);
+                if self.held.len() > LONGEST_BODY {
+                    out.push(Said::Failed(format!("an answer over {LONGEST_BODY} bytes")));
+                }
+            }
+            Item::End => match std::mem::replace(&mut self.body, Body::None) {
+                Body::Whole(status) => {
+                    let body = std::mem::take(&mut self.held);
+                    out.push(self.whole(status, &body));
+                }
+                Body::Stream if self.events.inside() => out.push(Said::Failed("a stream that ends in an event".into())),
+                Body::Stream => out.push(Said::Done),
+                Body::None => {}
+            },
+        }
+    }
+
+    fn stream(&mut self, piece: &[u8], out: &mut Vec<Said>) {
+        let mut events = Vec::new();
+        if self.events.feed(piece, &mut events).is_err() {
+            return out.push(Said::Failed(format!("an event over {LONGEST_BODY} bytes")));
+        }
+        for event in events.iter().filter(|e| e.data != "[DONE]") {
+            match serde_json::from_str::<Chunk>(&event.data) {
+                Ok(Chunk { error: Some(error), .. }) => return out.push(Said::Failed(error.to_string())),
+                Ok(chunk) => out.push(Said::Chunk(chunk)),
+                Err(why) => return out.push(Said::Failed(format!("an event that is no chunk: {why}"))),
+            }
+        }
+    }
+
+    /// What a whole answer says. Only an answer that says itself that nothing ran counts as full.
+    fn whole(&self, status: u16, body: &[u8]) -> Said {
+        match (status, self.used_for) {
+            (200, Use::Attempt { read: true, .. }) => match engine::read_answer(body) {
+                Ok(read) => Said::Read { transfer: read.kv_transfer_params, usage: read.usage.unwrap_or_default() },
+                Err(why) => Said::Failed(why),
+            },
+            (200, Use::Probe) => Said::Load(engine::metrics(&String::from_utf8_lossy(body))),
+            (200, Use::Abort) => Said::Done,
+            (200, Use::Attempt { .. }) => Said::Failed("no stream where one was asked for".into()),
+            _ => match engine::error_type(body) {
+                Some((kind, _)) if kind == engine::FULL => Said::Full { no_state: false },
+                Some((kind, _)) if kind == engine::NO_STATE => Said::Full { no_state: true },
+                Some((_, message)) if matches!(status, 400 | 413 | 422) => Said::Wrong(status, message),
+                _ => Said::Failed(format!("status {status}")),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/members.rs
@@ -0,0 +1,181 @@
+//! The engines as this router knows them: the list, and what their own word adds to it (start times).
+//!
+//! The list says who is there and who drains; it knows no start times. These come from the engines' metrics, and
+//! the module is told of a restart as a changed entry, which is what makes it take an engine as cold.
+
+use crate::site::{EngineSite, KINDS};
+use slipreel::{CellId, Engine, EngineId, EngineState, Event, KindId, Listing, Role, ZoneId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Start times that differ by less are one start: clocks of engines are read by whole seconds.
+const SAME_START: Duration = Duration::from_millis(1_500);
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) site: EngineSite,
+    /// When it last started, on the front's clock; `None`: not told, or long ago.
+    started: Option<Duration>,
+    /// Whether it ever told its start.
+    told: bool,
+}
+
+/// The list of engines.
+#[derive(Debug, Default)]
+pub(crate) struct Members {
+    by_id: BTreeMap<EngineId, Member>,
+    zones: Names,
+    cells: Names,
+}
+
+/// Numbers for names, the same as long as the process lives.
+#[derive(Debug, Default)]
+struct Names(Vec<String>);
+
+impl Names {
+    fn number(&mut self, name: &str) -> u32 {
+        let at = self.0.iter().position(|n| n == name).unwrap_or_else(|| {
+            self.0.push(name.to_owned());
+            self.0.len() - 1
+        });
+        at as u32
+    }
+}
+
+/// An engine's id: of its address alone, so that it is the same at every router and across restarts.
+pub fn engine_id(addr: SocketAddr) -> EngineId {
+    match addr {
+        SocketAddr::V4(v4) => EngineId(u64::from(v4.ip().to_bits()) << 16 | u64::from(v4.port())),
+        SocketAddr::V6(v6) => EngineId(xxh3_64(&[&v6.ip().octets()[..], &v6.port().to_be_bytes()].concat())),
+    }
+}
+
+impl Members {
+    /// The number of a zone by name.
+    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(self.zones.number(name))
+    }
+
+    pub(crate) fn get(&self, id: EngineId) -> Option<&Member> {
+        self.by_id.get(&id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (EngineId, &Member)> {
+        self.by_id.iter().map(|(&id, m)| (id, m))
+    }
+
+    /// Takes a complete list. Engines that left stay known until the next list without them, since attempts may
+    /// still run there. Gives the event for the module and the engines that take nothing new from now on.
+    pub(crate) fn replace(&mut self, now: Duration, list: &[EngineSite]) -> (Event, Vec<EngineId>) {
+        let before = std::mem::take(&mut self.by_id);
+        for site in list {
+            let id = engine_id(site.addr);
+            // An engine in another role than before has started anew, whatever it says: the module takes a role
+            // only with a start time that it has not seen.
+            let (started, told) = match before.get(&id) {
+                Some(m) if m.site.role != site.role => (Some(now), false),
+                Some(m) => (m.started, m.told),
+                None => (None, false),
+            };
+            self.by_id.insert(id, Member { site: site.clone(), started, told });
+        }
+        let takes = |m: Option<&Member>| m.is_some_and(|m| m.site.state == EngineState::Ready);
+        let closed =
+            before.iter().filter(|(id, m)| takes(Some(m)) && !takes(self.by_id.get(id))).map(|(&id, _)| id).collect();
+        let ids: Vec<EngineId> = self.by_id.keys().copied().collect();
+        let engines = ids.into_iter().filter_map(|id| self.entry(id)).collect();
+        (Event::Engines { listing: Listing::Complete, engines }, closed)
+    }
+
+    fn entry(&mut self, id: EngineId) -> Option<Engine> {
+        let member = self.by_id.get(&id)?;
+        let kind = KindId(KINDS.iter().position(|&r| r == member.site.role)?);
+        let zone = ZoneId(self.zones.number(&member.site.zone));
+        let cell = CellId(self.cells.number(&member.site.cell));
+        Some(Engine { id, state: member.site.state, kind, zone, cell, started: member.started })
+    }
+
+    /// An engine has told when it started. Gives the event for the module if that is news that matters: it has
+    /// restarted, or it is seen for the first time and may still be cold.
+    pub(crate) fn note_start(
+        &mut self, now: Duration, id: EngineId, started: Duration, cold_time: Duration,
+    ) -> Option<Event> {
+        let member = self.by_id.get_mut(&id)?;
+        let known = member.started.unwrap_or_default();
+        let first = !std::mem::replace(&mut member.told, true);
+        let recent = now < started.saturating_add(cold_time);
+        let news = if first { recent } else { started > known + SAME_START && (recent || member.started.is_some()) };
+        if !news {
+            return None;
+        }
+        member.started = Some(started);
+        let engines = vec![self.entry(id)?];
+        Some(Event::Engines { listing: Listing::Changes, engines })
+    }
+
+    /// The role of an engine, if it is known.
+    pub(crate) fn role(&self, id: EngineId) -> Option<Role> {
+        self.by_id.get(&id).map(|m| m.site.role)
+    }
+
+    /// The address of an engine, if it is known.
+    pub(crate) fn addr(&self, id: EngineId) -> Option<SocketAddr> {
+        self.by_id.get(&id).map(|m| m.site.addr)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn site(port: u16, role: Role, state: EngineState) -> EngineSite {
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        EngineSite { name: format!("e{port}"), addr, role, zone: "a".into(), cell: "a1".into(), state }
+    }
+
+    fn entries(event: Event) -> Vec<Engine> {
+        match event {
+            Event::Engines { engines, .. } => engines,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    const COLD: Duration = Duration::from_secs(10);
+
+    #[test]
+    fn a_restart_is_told_once_and_an_old_start_is_not() {
+        let s = Duration::from_secs;
+        let mut members = Members::default();
+        members.replace(Duration::ZERO, &[site(1, Role::Read, EngineState::Ready)]);
+        let id = engine_id(SocketAddr::from(([127, 0, 0, 1], 1)));
+        assert!(members.note_start(s(1000), id, s(100), COLD).is_none(), "long ago");
+        let event = members.note_start(s(1100), id, s(1099), COLD).expect("a restart");
+        assert_eq!(entries(event)[0].started, Some(s(1099)));
+        assert!(members.note_start(s(1101), id, s(1099), COLD).is_none(), "told already");
+        assert!(members.note_start(s(1101), id, s(1098), COLD).is_none(), "the same start, rounded otherwise");
+        let event = members.note_start(s(1300), id, s(1290), COLD);
+        assert!(event.is_some(), "another restart, heard of late, still voids what was known");
+    }
+
+    #[test]
+    fn one_that_drains_or_leaves_or_changes_role_is_named() {
+        let mut members = Members::default();
+        let all = [1, 2, 3].map(|port| site(port, Role::Read, EngineState::Ready));
+        members.replace(Duration::ZERO, &all);
+        let list =
+            [site(1, Role::Read, EngineState::Draining), site(2, Role::Write, EngineState::Ready)];
+        let (event, closed) = members.replace(Duration::from_secs(5), &list);
+        let id = |port| engine_id(SocketAddr::from(([127, 0, 0, 1], port)));
+        assert_eq!(closed, [id(1), id(3)]);
+        let entries = entries(event);
+        assert_eq!(entries.iter().map(|e| (e.state, e.kind.0)).collect::<Vec<_>>(), [
+            (EngineState::Draining, 0),
+            (EngineState::Ready, 1)
+        ]);
+        assert_eq!(entries[1].started, Some(Duration::from_secs(5)), "a new role comes with a new start");
+        assert!(members.role(id(3)).is_none());
+    }
+}
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,417 @@
+//! The clients' side: what a request asks for, and its one final answer.
+
+use crate::call::{Call, Final, NewCall};
+use crate::classify;
+use crate::client::{Received, State};
+use crate::front::Front;
+use crate::limits::{self, Turned};
+use serde_json::json;
+use slipreel::{Event, Outcome, RequestId};
+use slipreel_machine::{ConnId, Output};
+use slipreel_protocol::http::{self, Malformed};
+use slipreel_protocol::messages::{Ask, ErrorKind, Fault};
+use std::time::Duration;
+
+impl Front {
+    // ---- In ---------------------------------------------------------------------------------
+
+    pub(crate) fn client_data(&mut self, conn: ConnId, bytes: &[u8], out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        let before = client.state;
+        client.feed(now, bytes, out);
+        self.read_requests(conn, out);
+        if self.clients.get(&conn).is_some_and(|c| c.state != before) {
+            self.arm_client(conn);
+        }
+    }
+
+    /// Takes the requests that have come in whole, one after another as each is answered.
+    fn read_requests(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        loop {
+            let now = self.now;
+            let Some(client) = self.clients.get_mut(&conn) else { return };
+            match client.receive(now, out) {
+                Ok(None) => return,
+                Ok(Some(received)) => self.route(conn, &received, out),
+                Err(why) => return self.malformed(conn, &why, out),
+            }
+        }
+    }
+
+    fn malformed(&mut self, conn: ConnId, why: &Malformed, out: &mut Vec<Output>) {
+        let fault = Fault::new(ErrorKind::of_status(why.status), why.why.clone());
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.last_answer();
+        }
+        self.turn(conn, why.status, &fault, &[], out);
+    }
+
+    /// An answer that needs no engine.
+    fn turn(&mut self, conn: ConnId, status: u16, fault: &Fault, fields: &[(&str, &str)], out: &mut Vec<Output>) {
+        let request_id = self.request_id();
+        self.tally.turned += 1;
+        let body = fault.body(&request_id);
+        let mut all = vec![("request-id", request_id.as_str())];
+        all.extend_from_slice(fields);
+        self.answer(conn, status, &all, body.as_bytes(), out);
+    }
+
+    fn answer(&mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
+        let stopping = self.stopping;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        if stopping {
+            client.last_answer();
+        }
+        client.answer(status, fields, body, out);
+        self.client_done(conn, out);
+    }
+
+    fn client_done(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        if client.done(now, out) {
+            self.arm_client(conn);
+        } else {
+            self.forget_client(conn);
+        }
+    }
+
+    fn request_id(&mut self) -> String {
+        self.next_call += 1;
+        format!("req_{:016x}{:08x}", self.seed, self.next_call)
+    }
+
+    fn route(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) {
+        let (method, path) = (received.method(), received.path());
+        let answered = match (method, path) {
+            ("POST", "/v1/messages") => self.ask(conn, received, out),
+            ("POST", "/v1/messages/count_tokens") => self.count_tokens(conn, received, out),
+            ("GET", "/v1/models") => self.models(conn, received, None, out),
+            ("GET", _) if path.starts_with("/v1/models/") => {
+                self.models(conn, received, Some(&path["/v1/models/".len()..]), out)
+            }
+            ("GET", "/health") => {
+                let (status, word) = if self.stopping { (503, "stopping") } else { (200, "ok") };
+                self.answer(conn, status, &[], json!({"status": word}).to_string().as_bytes(), out);
+                Ok(())
+            }
+            (_, "/v1/messages" | "/v1/messages/count_tokens" | "/v1/models" | "/health") => {
+                let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
+                self.turn(conn, 405, &fault, &[], out);
+                Ok(())
+            }
+            _ => Err(Fault::new(ErrorKind::NotFound, format!("no such path: {path}"))),
+        };
+        if let Err(fault) = answered {
+            self.turn(conn, fault.kind.status(), &fault, &[], out);
+        }
+    }
+
+    fn models(
+        &mut self, conn: ConnId, received: &Received, one: Option<&str>, out: &mut Vec<Output>,
+    ) -> Result<(), Fault> {
+        classify::caller(&self.site, &received.head)?;
+        let model = |name: &str| {
+            json!({"type": "model", "id": name, "display_name": name, "created_at": "1970-01-01T00:00:00Z"})
+        };
+        let names: Vec<&str> = self.site.models.iter().map(|m| m.name.as_str()).collect();
+        let body = match one {
+            Some(name) if names.contains(&name) => model(name),
+            Some(name) => return Err(Fault::new(ErrorKind::NotFound, format!("model: {name}"))),
+            None => json!({"data": names.iter().map(|n| model(n)).collect::<Vec<_>>(), "has_more": false,
+                           "first_id": names.first(), "last_id": names.last()}),
+        };
+        let request_id = self.request_id();
+        self.answer(conn, 200, &[("request-id", &request_id)], body.to_string().as_bytes(), out);
+        Ok(())
+    }
+
+    fn count_tokens(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) -> Result<(), Fault> {
+        classify::caller(&self.site, &received.head)?;
+        let ask = Ask::parse(&received.body, true)?;
+        if !self.site.models.iter().any(|m| m.name == ask.model) {
+            return Err(Fault::new(ErrorKind::NotFound, format!("model: {}", ask.model)));
+        }
+        let tokens = classify::prompt_tokens(&ask, received.body.len()) as u64;
+        let body = json!({"input_tokens": tokens}).to_string();
+        let request_id = self.request_id();
+        self.answer(conn, 200, &[("request-id", &request_id)], body.as_bytes(), out);
+        Ok(())
+    }
+
+    /// A message request: the module is told of it, unless it can't be taken at all.
+    fn ask(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) -> Result<(), Fault> {
+        let caller = classify::caller(&self.site, &received.head)?;
+        let mut ask = Ask::parse(&received.body, false)?;
+        let traits = classify::traits(&self.site, &received.head, caller, &ask, received.body.len())?;
+        let model = std::mem::replace(&mut ask.model, traits.served_as.clone());
+        let chat = ask.to_chat()?;
+        if let Err(turned) = limits::may_take(&self.site.bounds, self.calls.len(), self.stopping) {
+            let why = match turned {
+                Turned::Requests => "too many requests are under way",
+                Turned::Stopping => "this router is stopping",
+            };
+            let fault = Fault::new(ErrorKind::Overloaded, why);
+            let (s, ms) = retry_after(limits::COME_BACK);
+            let fields = [("retry-after", s.as_str()), ("retry-after-ms", &ms), ("x-should-retry", "true")];
+            self.turn(conn, fault.kind.status(), &fault, &fields, out);
+            return Ok(());
+        }
+        let request_id = self.request_id();
+        let id = RequestId(self.next_call);
+        let generation = self.generation();
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.state = State::Serving(Some(id.0));
+        }
+        let new = NewCall {
+            id,
+            generation,
+            client: conn,
+            request_id,
+            effect: self.site.settings.classes[traits.class.0].effect,
+            stream: ask.stream,
+            now: self.now,
+            time_left: traits.time_left,
+            whole_within: traits.told,
+            chat,
+            max_tokens: ask.max_tokens,
+            key: traits.idempotency_key,
+            model,
+        };
+        self.calls.insert(id, Call::new(new));
+        self.tally.taken += 1;
+        let request = slipreel::Request {
+            id,
+            class: traits.class,
+            tenant: caller.tenant,
+            session: traits.session,
+            shared_prefix: traits.shared_prefix,
+            prompt_tokens: traits.prompt_tokens,
+            max_output_tokens: f64::from(ask.max_tokens),
+            time_left: traits.time_left,
+            repeat: traits.repeat,
+        };
+        self.tell(generation, Event::Request(request));
+        Ok(())
+    }
+
+    // ---- Leaving ------------------------------------------------------------------------------
+
+    pub(crate) fn client_eof(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let half_close = self.site.bounds.half_close;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.eof = true;
+        match client.state {
+            State::Serving(_) if half_close => {}
+            // Between requests, or in the midst of one that can't be ended any more.
+            _ => {
+                out.push(Output::Finish(conn));
+                self.client_gone(conn);
+            }
+        }
+    }
+
+    /// A client's connection is over: its request, if one is under way, is owed no answer any more.
+    pub(crate) fn client_gone(&mut self, conn: ConnId) {
+        let Some(client) = self.clients.get(&conn) else { return };
+        let state = client.state;
+        self.forget_client(conn);
+        let State::Serving(Some(id)) = state else { return };
+        let id = RequestId(id);
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return };
+        call.over = true;
+        self.tally.left += 1;
+        let (generation, begun) = (call.generation, call.begun);
+        let conn = begun.and_then(|a| call.attempts[a].conn);
+        self.reap.push(id);
+        self.tell(generation, Event::ClientGone(id));
+        // The module leaves a stream that has begun to its client, and this one is gone.
+        if let Some(conn) = conn {
+            self.orphans.push(conn);
+        }
+    }
+
+    pub(crate) fn client_sent(&mut self, conn: ConnId, n: usize, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.unsent = client.unsent.saturating_sub(n);
+        client.moved = now;
+        if let State::Serving(Some(id)) = client.state {
+            self.check_pace(RequestId(id), out);
+        }
+    }
+
+    /// A client's connection did not move on in time, by its state.
+    pub(crate) fn client_late(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let Some(client) = self.clients.get(&conn) else { return };
+        match client.state {
+            State::Receiving if client.unsent == 0 => {
+                let why = Malformed { status: 408, why: "the request did not come in whole in time".into() };
+                self.malformed(conn, &why, out);
+            }
+            State::Idle if client.unsent == 0 => {
+                out.push(Output::Finish(conn));
+                self.forget_client(conn);
+            }
+            // It takes nothing of what waits for it.
+            _ => {
+                out.push(Output::Abort(conn));
+                self.client_gone(conn);
+            }
+        }
+    }
+
+    // ---- Out ----------------------------------------------------------------------------------
+
+    pub(crate) fn begin_stream(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(call) = self.calls.get(&id) else { return };
+        let Some(client) = self.clients.get_mut(&call.client) else { return };
+        client.moved = now;
+        client.begin_stream(&[("request-id", &call.request_id)], out);
+        let conn = client.conn;
+        self.arm_client(conn);
+    }
+
+    /// Passes a piece of a stream on. A whole answer keeps it.
+    pub(crate) fn flush(&mut self, id: RequestId, piece: &mut Vec<u8>, out: &mut Vec<Output>) {
+        let piece = std::mem::take(piece);
+        let now = self.now;
+        let Some(call) = self.calls.get(&id).filter(|c| c.stream && !c.over) else { return };
+        let Some(client) = self.clients.get_mut(&call.client) else { return };
+        let (conn, idle) = (client.conn, client.unsent == 0);
+        if idle {
+            client.moved = now;
+        }
+        client.write(http::chunk(&piece), out);
+        if idle {
+            self.arm_client(conn);
+        }
+    }
+
+    /// The final answer of a request whose answer is whole.
+    pub(crate) fn serve_whole(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return };
+        let (conn, stream, request_id) = (call.client, call.stream, call.request_id.clone());
+        let mut bytes = Vec::new();
+        call.writer.finish(&mut bytes);
+        self.final_of(id, Final::Served);
+        if stream {
+            if let Some(client) = self.clients.get_mut(&conn) {
+                let mut last = http::chunk(&bytes);
+                last.extend_from_slice(http::LAST_CHUNK);
+                client.write(last, out);
+            }
+            self.client_done(conn, out);
+        } else {
+            self.answer(conn, 200, &[("request-id", &request_id)], &bytes, out);
+        }
+        self.read_requests(conn, out);
+    }
+
+    /// The final answer of a request that gets no answer of an engine.
+    pub(crate) fn answer_fault(
+        &mut self, id: RequestId, fault: &Fault, come_back: Option<Duration>, end: Final, out: &mut Vec<Output>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return };
+        let (conn, request_id) = (call.client, call.request_id.clone());
+        let must_not_repeat = end == Final::Failed && call.must_not_repeat();
+        if call.stream && call.begun.is_some() {
+            let mut bytes = Vec::new();
+            call.writer.error(fault, &request_id, &mut bytes);
+            let mut last = http::chunk(&bytes);
+            last.extend_from_slice(http::LAST_CHUNK);
+            self.final_of(id, end);
+            if let Some(client) = self.clients.get_mut(&conn) {
+                client.last_answer();
+                client.write(last, out);
+            }
+            return self.client_done(conn, out);
+        }
+        self.final_of(id, end);
+        let (s, ms) = come_back.map(retry_after).unzip();
+        let mut fields = vec![("request-id", request_id.as_str())];
+        if let (Some(s), Some(ms)) = (&s, &ms) {
+            fields.extend([("retry-after", s.as_str()), ("retry-after-ms", ms.as_str())]);
+        }
+        match end {
+            Final::Refused => fields.push(("x-should-retry", "true")),
+            _ if must_not_repeat => fields.push(("x-should-retry", "false")),
+            _ => {}
+        }
+        let body = fault.body(&request_id);
+        self.answer(conn, fault.kind.status(), &fields, body.as_bytes(), out);
+        self.read_requests(conn, out);
+    }
+
+    /// The module turns a request away.
+    pub(crate) fn refuse(
+        &mut self, id: RequestId, come_back: Option<Duration>, over_share: bool, out: &mut Vec<Output>,
+    ) {
+        let fault = if over_share {
+            Fault::new(ErrorKind::RateLimit, "your share is used up and the fleet is busy")
+        } else {
+            Fault::new(ErrorKind::Overloaded, "Overloaded")
+        };
+        self.answer_fault(id, &fault, come_back, Final::Refused, out);
+    }
+
+    /// The module fails a request: in time if its client still waits a while, else as a time-out.
+    pub(crate) fn fail(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let margin = self.site.settings.tick * 4;
+        let fault = if self.now + margin >= call.deadline {
+            Fault::new(ErrorKind::Timeout, "no answer began in the time that this request has")
+        } else {
+            Fault::new(ErrorKind::Api, "the request failed and may have run")
+        };
+        self.answer_fault(id, &fault, None, Final::Failed, out);
+    }
+
+    /// A client that waits for a whole answer gives up now.
+    pub(crate) fn whole_late(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.get(&id).filter(|c| !c.over) else { return };
+        let conn = call.begun.and_then(|a| call.attempts[a].conn);
+        let fault = Fault::new(ErrorKind::Timeout, "the answer was not whole in the time that this request has");
+        self.answer_fault(id, &fault, None, Final::Failed, out);
+        if let Some(conn) = conn {
+            self.drop_link(conn, out, Outcome::Cancelled);
+        }
+    }
+
+    /// What still runs some time after a stop ends now.
+    pub(crate) fn stop_by(&mut self, out: &mut Vec<Output>) {
+        let open: Vec<RequestId> = self.calls.values().filter(|c| !c.over).map(|c| c.id).collect();
+        for id in open {
+            let fault = Fault::new(ErrorKind::Api, "this router has stopped");
+            self.answer_fault(id, &fault, None, Final::Failed, out);
+            let Some(call) = self.calls.get(&id) else { continue };
+            let (generation, conn) = (call.generation, call.begun.and_then(|a| call.attempts[a].conn));
+            // For the module the client is as good as gone: it cancels and lets go.
+            self.tell(generation, Event::ClientGone(id));
+            if let Some(conn) = conn {
+                self.drop_link(conn, out, Outcome::Cancelled);
+            }
+        }
+        let mut rest: Vec<ConnId> = self.clients.keys().copied().collect();
+        rest.sort();
+        for conn in rest {
+            out.push(Output::Finish(conn));
+            self.forget_client(conn);
+        }
+    }
+
+    /// Connections whose stream nobody waits for any more.
+    pub(crate) fn drop_orphans(&mut self, out: &mut Vec<Output>) {
+        for conn in std::mem::take(&mut self.orphans) {
+            self.drop_link(conn, out, Outcome::Cancelled);
+        }
+    }
+}
+
+/// The two fields that tell when to come back: whole seconds as HTTP has it, and milliseconds.
+fn retry_after(wait: Duration) -> (String, String) {
+    let ms = wait.as_millis().max(1);
+    (ms.div_ceil(1000).to_string(), ms.to_string())
+}
--- /dev/null
+++ b/crates/net/src/driver.rs
@@ -0,0 +1,665 @@
+//! The event loop.
+
+use crate::conn::{Conn, Flushed, Phase};
+use crate::{check_loopback, NetError};
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::event::{eventfd, EventfdFlags, Timespec};
+use rustix::fd::{AsFd, OwnedFd};
+use rustix::io::Errno;
+use rustix::net::{self, sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
+use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use std::any::Any;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+
+/// The clock does not begin at nothing, so that an engine's start can lie before the loop's.
+const CLOCK_BASE: Duration = Duration::from_secs(1 << 20);
+/// How long a finished connection waits for its peer to close too, so that the last answer is not lost to a reset.
+const LINGER: Duration = Duration::from_millis(1_000);
+/// Bytes taken from a socket at once, and how often before others have their turn.
+const READ: usize = 64 << 10;
+const READS: usize = 4;
+/// Wait before accepting goes on after descriptors ran out.
+const NO_DESCRIPTORS: Duration = Duration::from_millis(50);
+const BACKLOG: i32 = 4096;
+
+/// A clock that several loops share.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Duration {
+        CLOCK_BASE + self.0.elapsed()
+    }
+}
+
+/// A machine in a loop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub usize);
+
+/// What a loop is told from another thread.
+pub enum Command<M> {
+    /// News for a machine.
+    News(NodeId, Arc<dyn Any + Send + Sync>),
+    /// A machine is to stop in good order.
+    Stop(NodeId),
+    /// A machine dies at once, as if its process were killed: its connections are reset, its state is gone.
+    Kill(NodeId),
+    /// A machine takes the place of one that was killed, on the same addresses.
+    Revive(NodeId, M),
+    /// A machine is not run until `Thaw`; its connections stay.
+    Freeze(NodeId),
+    /// Runs a frozen machine again.
+    Thaw(NodeId),
+    /// The loop ends now.
+    End,
+}
+
+/// Tells a loop something from another thread.
+pub struct Handle<M> {
+    commands: mpsc::Sender<Command<M>>,
+    wake: Arc<OwnedFd>,
+}
+
+impl<M> Clone for Handle<M> {
+    fn clone(&self) -> Self {
+        Handle { commands: self.commands.clone(), wake: self.wake.clone() }
+    }
+}
+
+impl<M> Handle<M> {
+    /// Tells it. False if the loop has ended.
+    pub fn tell(&self, command: Command<M>) -> bool {
+        let told = self.commands.send(command).is_ok();
+        let _ = rustix::io::write(&*self.wake, &1u64.to_ne_bytes());
+        told
+    }
+}
+
+struct Node<M> {
+    machine: M,
+    listeners: Vec<SocketAddr>,
+    by_id: HashMap<ConnId, usize>,
+    accepted: u64,
+    dead: bool,
+    frozen: bool,
+    stopped: bool,
+}
+
+struct Listener {
+    fd: OwnedFd,
+    node: usize,
+    /// Out of descriptors: not asked until then.
+    resting: Option<Duration>,
+}
+
+enum Slot {
+    Free,
+    Conn(Box<Conn>),
+    Listener(Listener),
+}
+
+/// An event loop that drives machines over sockets.
+pub struct Loop<M> {
+    epoll: OwnedFd,
+    clock: Clock,
+    nodes: Vec<Node<M>>,
+    slots: Vec<Slot>,
+    /// Counts the uses of each slot: readiness of an earlier use is ignored.
+    uses: Vec<u32>,
+    free: Vec<usize>,
+    /// Machines' outputs to carry out.
+    todo: VecDeque<(usize, Output)>,
+    dirty: Vec<usize>,
+    /// Finished connections that wait for their peers, by when, with the use of the slot.
+    lingering: VecDeque<(Duration, usize, u32)>,
+    /// The slots of listeners.
+    doors: Vec<usize>,
+    /// Outputs are being carried out: what they cause is queued, not nested.
+    busy: bool,
+    commands: mpsc::Receiver<Command<M>>,
+    handle: Handle<M>,
+    log: Box<dyn FnMut(NodeId, &str) + Send>,
+    ended: bool,
+}
+
+const WAKE: u64 = u64::MAX;
+
+fn family(addr: SocketAddr) -> AddressFamily {
+    if addr.is_ipv4() {
+        AddressFamily::INET
+    } else {
+        AddressFamily::INET6
+    }
+}
+
+fn token(slot: usize, uses: u32) -> EventData {
+    EventData::new_u64((u64::from(uses) << 32) | slot as u64)
+}
+
+impl<M: Machine> Loop<M> {
+    /// A loop without machines.
+    ///
+    /// # Errors
+    /// No descriptors for epoll.
+    pub fn new(clock: Clock) -> std::io::Result<Self> {
+        let epoll = epoll::create(CreateFlags::CLOEXEC)?;
+        let wake = Arc::new(eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?);
+        epoll::add(&epoll, &*wake, EventData::new_u64(WAKE), EventFlags::IN)?;
+        let (sender, commands) = mpsc::channel();
+        Ok(Loop {
+            epoll,
+            clock,
+            nodes: Vec::new(),
+            slots: Vec::new(),
+            uses: Vec::new(),
+            free: Vec::new(),
+            todo: VecDeque::new(),
+            dirty: Vec::new(),
+            lingering: VecDeque::new(),
+            doors: Vec::new(),
+            busy: false,
+            commands,
+            handle: Handle { commands: sender, wake },
+            log: Box::new(|_, _| {}),
+            ended: false,
+        })
+    }
+
+    /// Where lines for the staff go.
+    pub fn on_log(&mut self, log: impl FnMut(NodeId, &str) + Send + 'static) {
+        self.log = Box::new(log);
+    }
+
+    /// Tells this loop something from another thread.
+    pub fn handle(&self) -> Handle<M> {
+        self.handle.clone()
+    }
+
+    /// Adds a machine.
+    pub fn add(&mut self, machine: M) -> NodeId {
+        self.nodes.push(Node {
+            machine,
+            listeners: Vec::new(),
+            by_id: HashMap::new(),
+            accepted: 0,
+            dead: false,
+            frozen: false,
+            stopped: false,
+        });
+        NodeId(self.nodes.len() - 1)
+    }
+
+    /// Listens for a machine; gives the address, with the port that the system chose if 0 was asked for.
+    ///
+    /// # Errors
+    /// The address is not a loopback one, or in use.
+    pub fn listen(&mut self, node: NodeId, addr: SocketAddr) -> Result<SocketAddr, NetError> {
+        check_loopback(addr)?;
+        let system = |e: Errno| NetError::System(addr, e.into());
+        let fd = net::socket_with(
+            family(addr),
+            SocketType::STREAM,
+            SocketFlags::NONBLOCK | SocketFlags::CLOEXEC,
+            None,
+        )
+        .map_err(system)?;
+        sockopt::set_socket_reuseaddr(&fd, true).map_err(system)?;
+        sockopt::set_socket_reuseport(&fd, true).map_err(system)?;
+        net::bind(&fd, &addr).map_err(system)?;
+        net::listen(&fd, BACKLOG).map_err(system)?;
+        let bound = net::getsockname(&fd).map_err(system)?;
+        let bound = SocketAddr::try_from(bound).map_err(system)?;
+        let slot = self.slot();
+        epoll::add(&self.epoll, &fd, token(slot, self.uses[slot]), EventFlags::IN).map_err(system)?;
+        self.slots[slot] = Slot::Listener(Listener { fd, node: node.0, resting: None });
+        self.doors.push(slot);
+        self.nodes[node.0].listeners.push(bound);
+        Ok(bound)
+    }
+
+    /// Looks at a machine.
+    pub fn machine(&self, node: NodeId) -> &M {
+        &self.nodes[node.0].machine
+    }
+
+    /// Puts a machine in another's place, before the loop runs.
+    pub fn machine_mut(&mut self, node: NodeId) -> &mut M {
+        &mut self.nodes[node.0].machine
+    }
+
+    /// The machines, after the loop has ended.
+    pub fn into_machines(self) -> Vec<M> {
+        self.nodes.into_iter().map(|n| n.machine).collect()
+    }
+
+    /// Runs until all machines have stopped, or [`Command::End`].
+    ///
+    /// # Errors
+    /// Epoll failed, which no input can cause.
+    pub fn run(&mut self) -> std::io::Result<()> {
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(1024);
+        while !self.ended && (self.nodes.iter().any(|n| !n.stopped) || !self.lingering.is_empty()) {
+            self.turn(&mut events)?;
+        }
+        Ok(())
+    }
+
+    /// Waits for what comes next and handles it.
+    fn turn(&mut self, events: &mut Vec<epoll::Event>) -> std::io::Result<()> {
+        let timeout = self.next_wake().map(|at| at.saturating_sub(self.clock.now()));
+        let timeout = timeout.map(|t| Timespec { tv_sec: t.as_secs() as i64, tv_nsec: i64::from(t.subsec_nanos()) });
+        events.clear();
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(events), timeout.as_ref()) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(why) => return Err(why.into()),
+        }
+        for event in events.drain(..) {
+            let (data, flags) = (event.data.u64(), event.flags);
+            if data == WAKE {
+                let mut count = [0; 8];
+                let _ = rustix::io::read(&*self.handle.wake, &mut count);
+                continue;
+            }
+            let (slot, uses) = ((data & u64::from(u32::MAX)) as usize, (data >> 32) as u32);
+            if self.uses.get(slot) == Some(&uses) {
+                self.ready(slot, flags);
+            }
+        }
+        while let Ok(command) = self.commands.try_recv() {
+            self.command(command);
+        }
+        self.run_due();
+        Ok(())
+    }
+
+    fn next_wake(&self) -> Option<Duration> {
+        let machines = self.nodes.iter().filter(|n| !n.dead && !n.frozen).filter_map(|n| n.machine.wake_at());
+        let resting = self.doors.iter().filter_map(|&slot| match &self.slots[slot] {
+            Slot::Listener(l) => l.resting,
+            _ => None,
+        });
+        let lingering = self.lingering.front().map(|&(until, ..)| until);
+        machines.chain(resting).chain(lingering).min()
+    }
+
+    fn run_due(&mut self) {
+        let now = self.clock.now();
+        for at in 0..self.nodes.len() {
+            let node = &self.nodes[at];
+            if !node.dead && !node.frozen && node.machine.wake_at().is_some_and(|due| due <= now) {
+                self.give(at, Input::Wake);
+            }
+        }
+        while let Some(&(until, slot, uses)) = self.lingering.front() {
+            let open = self.uses[slot] == uses;
+            if open && until > now {
+                break;
+            }
+            self.lingering.pop_front();
+            if open {
+                self.close(slot);
+            }
+        }
+        for at in 0..self.doors.len() {
+            let slot = self.doors[at];
+            let Slot::Listener(l) = &mut self.slots[slot] else { continue };
+            if l.resting.is_some_and(|until| until <= now) {
+                l.resting = None;
+                let _ = epoll::modify(&self.epoll, &l.fd, token(slot, self.uses[slot]), EventFlags::IN);
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command<M>) {
+        match command {
+            Command::News(node, news) => self.give(node.0, Input::News(&*news)),
+            Command::Stop(node) => self.give(node.0, Input::Stop),
+            Command::Kill(node) => self.kill(node.0),
+            Command::Revive(node, machine) => self.revive(node, machine),
+            Command::Freeze(node) => self.freeze(node.0, true),
+            Command::Thaw(node) => self.freeze(node.0, false),
+            Command::End => self.ended = true,
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        self.nodes[node].dead = true;
+        let mine = |s: &Slot| match s {
+            Slot::Conn(c) => c.node == node,
+            Slot::Listener(l) => l.node == node,
+            Slot::Free => false,
+        };
+        let slots: Vec<usize> = (0..self.slots.len()).filter(|&s| mine(&self.slots[s])).collect();
+        for slot in slots {
+            if let Slot::Conn(c) = &self.slots[slot] {
+                let _ = sockopt::set_socket_linger(&c.fd, Some(Duration::ZERO));
+            }
+            self.close(slot);
+        }
+        self.nodes[node].by_id.clear();
+    }
+
+    fn revive(&mut self, node: NodeId, machine: M) {
+        let n = &mut self.nodes[node.0];
+        (n.machine, n.dead, n.frozen, n.stopped) = (machine, false, false, false);
+        for addr in std::mem::take(&mut n.listeners) {
+            if let Err(why) = self.listen(node, addr) {
+                (self.log)(node, &format!("can't listen again: {why}"));
+            }
+        }
+    }
+
+    fn freeze(&mut self, node: usize, frozen: bool) {
+        self.nodes[node].frozen = frozen;
+        let slots: Vec<usize> = self.nodes[node].by_id.values().copied().collect();
+        slots.into_iter().for_each(|slot| self.set_interest(slot));
+    }
+
+    // ---- Readiness -----------------------------------------------------------------------------
+
+    fn ready(&mut self, slot: usize, flags: EventFlags) {
+        match &self.slots[slot] {
+            Slot::Listener(_) => self.accept(slot),
+            Slot::Conn(c) => match c.phase {
+                Phase::Connecting => self.connected(slot),
+                Phase::Open => {
+                    if flags.intersects(EventFlags::OUT) {
+                        self.flush(slot);
+                    }
+                    if flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP) {
+                        self.read(slot);
+                    }
+                }
+                Phase::Finishing(_) => self.linger(slot),
+            },
+            Slot::Free => {}
+        }
+    }
+
+    fn accept(&mut self, slot: usize) {
+        for _ in 0..64 {
+            let Slot::Listener(listener) = &mut self.slots[slot] else { return };
+            let node = listener.node;
+            if self.nodes[node].frozen {
+                // The kernel takes connections for a process that does not run; nobody takes them up.
+                listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
+                let _ = epoll::modify(&self.epoll, &listener.fd, token(slot, self.uses[slot]), EventFlags::empty());
+                return;
+            }
+            match net::accept_with(&listener.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+                Ok(fd) => {
+                    let _ = sockopt::set_tcp_nodelay(&fd, true);
+                    let n = &mut self.nodes[node];
+                    n.accepted += 1;
+                    let id = ConnId(n.accepted);
+                    self.insert(Conn::new(fd, node, id, Phase::Open));
+                    self.give(node, Input::Accepted(id));
+                }
+                Err(Errno::AGAIN) => return,
+                Err(Errno::INTR | Errno::CONNABORTED) => {}
+                Err(_) => {
+                    listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
+                    let _ = epoll::modify(&self.epoll, &listener.fd, token(slot, self.uses[slot]), EventFlags::empty());
+                    (self.log)(NodeId(node), "no descriptors are left to accept connections");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn connected(&mut self, slot: usize) {
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        let (node, id) = (conn.node, conn.id);
+        if matches!(sockopt::socket_error(&conn.fd), Ok(Ok(()))) {
+            conn.phase = Phase::Open;
+            self.set_interest(slot);
+            self.give(node, Input::Connected(id));
+        } else {
+            self.close(slot);
+            self.give(node, Input::Lost(id, Loss::NotConnected));
+        }
+    }
+
+    fn read(&mut self, slot: usize) {
+        let mut buf = [0; READ];
+        for _ in 0..READS {
+            let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+            let (node, id) = (conn.node, conn.id);
+            if conn.phase != Phase::Open || conn.paused || conn.eof || self.nodes[node].frozen {
+                return;
+            }
+            match rustix::io::read(&conn.fd, &mut buf[..]) {
+                Ok(0) => {
+                    conn.eof = true;
+                    self.set_interest(slot);
+                    return self.give(node, Input::Eof(id));
+                }
+                Ok(n) => {
+                    self.give(node, Input::Data(id, &buf[..n]));
+                    if n < READ {
+                        return;
+                    }
+                }
+                Err(Errno::AGAIN) => return,
+                Err(Errno::INTR) => {}
+                Err(_) => {
+                    self.close(slot);
+                    return self.give(node, Input::Lost(id, Loss::Reset));
+                }
+            }
+        }
+    }
+
+    /// A finished connection: what is unsent goes out, then the peer's end is awaited for a while.
+    fn linger(&mut self, slot: usize) {
+        self.flush(slot);
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        if conn.has_unsent() {
+            return;
+        }
+        if !std::mem::replace(&mut conn.shut, true) {
+            let _ = net::shutdown(&conn.fd, Shutdown::Write);
+        }
+        let mut buf = [0; 4096];
+        for _ in 0..READS {
+            match rustix::io::read(&conn.fd, &mut buf[..]) {
+                Ok(n) if n > 0 => {}
+                Err(Errno::AGAIN | Errno::INTR) => return,
+                Ok(_) | Err(_) => return self.close(slot),
+            }
+        }
+    }
+
+    fn flush(&mut self, slot: usize) {
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        let (node, id, phase) = (conn.node, conn.id, conn.phase);
+        if phase == Phase::Connecting {
+            return;
+        }
+        match conn.flush() {
+            Flushed::Sent(sent) => {
+                if conn.shuts && !conn.has_unsent() && !std::mem::replace(&mut conn.shut, true) {
+                    let _ = net::shutdown(&conn.fd, Shutdown::Write);
+                }
+                self.set_interest(slot);
+                if sent > 0 && phase == Phase::Open {
+                    self.give(node, Input::Sent(id, sent));
+                }
+            }
+            Flushed::Broken => {
+                self.close(slot);
+                if phase == Phase::Open {
+                    self.give(node, Input::Lost(id, Loss::Reset));
+                }
+            }
+        }
+    }
+
+    // ---- Machines ------------------------------------------------------------------------------
+
+    /// Gives an input to a machine and carries out what it asks for, until nothing is left.
+    fn give(&mut self, node: usize, input: Input<'_>) {
+        let now = self.clock.now();
+        let n = &mut self.nodes[node];
+        if n.dead {
+            return;
+        }
+        let mut out = Vec::new();
+        n.machine.handle(now, input, &mut out);
+        self.todo.extend(out.into_iter().map(|o| (node, o)));
+        if std::mem::replace(&mut self.busy, true) {
+            return;
+        }
+        while let Some((node, output)) = self.todo.pop_front() {
+            self.carry_out(node, output);
+            if self.todo.is_empty() {
+                for slot in std::mem::take(&mut self.dirty) {
+                    if let Slot::Conn(c) = &mut self.slots[slot] {
+                        c.dirty = false;
+                        if matches!(c.phase, Phase::Finishing(_)) {
+                            self.linger(slot);
+                        } else {
+                            self.flush(slot);
+                        }
+                    }
+                }
+            }
+        }
+        self.busy = false;
+    }
+
+    fn carry_out(&mut self, node: usize, output: Output) {
+        match output {
+            Output::Connect(id, addr) => self.connect(node, id, addr),
+            Output::Write(id, bytes) => self.with(node, id, |conn| {
+                conn.write(bytes);
+                true
+            }),
+            Output::Shut(id) => self.with(node, id, |conn| {
+                conn.shuts = true;
+                true
+            }),
+            Output::Finish(id) => {
+                let until = self.clock.now() + LINGER;
+                let Some(&slot) = self.nodes[node].by_id.get(&id) else { return };
+                if let Slot::Conn(conn) = &mut self.slots[slot] {
+                    if conn.phase == Phase::Connecting {
+                        return self.close(slot);
+                    }
+                    conn.phase = Phase::Finishing(until);
+                }
+                self.with(node, id, |_| true);
+                self.nodes[node].by_id.remove(&id);
+                self.lingering.push_back((until, slot, self.uses[slot]));
+                self.set_interest(slot);
+            }
+            Output::Abort(id) => {
+                if let Some(slot) = self.nodes[node].by_id.remove(&id) {
+                    if let Slot::Conn(conn) = &self.slots[slot] {
+                        let _ = sockopt::set_socket_linger(&conn.fd, Some(Duration::ZERO));
+                    }
+                    self.close(slot);
+                }
+            }
+            Output::Pause(id) => self.pause(node, id, true),
+            Output::Resume(id) => self.pause(node, id, false),
+            Output::Stopped => {
+                self.nodes[node].stopped = true;
+                let mine = |s: &Slot| matches!(s, Slot::Listener(l) if l.node == node);
+                let slots: Vec<usize> = (0..self.slots.len()).filter(|&s| mine(&self.slots[s])).collect();
+                slots.into_iter().for_each(|slot| self.close(slot));
+            }
+            Output::Log(line) => (self.log)(NodeId(node), &line),
+        }
+    }
+
+    /// Finds a connection of a machine; if `change` says so, it is sent from when all outputs are taken.
+    fn with(&mut self, node: usize, id: ConnId, change: impl FnOnce(&mut Conn) -> bool) {
+        let Some(&slot) = self.nodes[node].by_id.get(&id) else { return };
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        if change(conn) && !std::mem::replace(&mut conn.dirty, true) {
+            self.dirty.push(slot);
+        }
+    }
+
+    fn pause(&mut self, node: usize, id: ConnId, paused: bool) {
+        let Some(&slot) = self.nodes[node].by_id.get(&id) else { return };
+        if let Slot::Conn(conn) = &mut self.slots[slot] {
+            conn.paused = paused;
+        }
+        self.set_interest(slot);
+    }
+
+    fn connect(&mut self, node: usize, id: ConnId, addr: SocketAddr) {
+        let lost = |why| Input::Lost(id, why);
+        if check_loopback(addr).is_err() {
+            (self.log)(NodeId(node), &format!("{addr} is not a loopback address; not connected"));
+            return self.give(node, lost(Loss::NotConnected));
+        }
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd = match net::socket_with(family(addr), SocketType::STREAM, flags, None) {
+            Ok(fd) => fd,
+            Err(_) => return self.give(node, lost(Loss::Exhausted)),
+        };
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
+        match net::connect(&fd, &addr) {
+            Ok(()) | Err(Errno::INPROGRESS) => {
+                self.insert(Conn::new(fd, node, id, Phase::Connecting));
+            }
+            Err(Errno::ADDRNOTAVAIL | Errno::NOBUFS) => self.give(node, lost(Loss::Exhausted)),
+            Err(_) => self.give(node, lost(Loss::NotConnected)),
+        }
+    }
+
+    // ---- Slots ---------------------------------------------------------------------------------
+
+    fn slot(&mut self) -> usize {
+        self.free.pop().unwrap_or_else(|| {
+            self.slots.push(Slot::Free);
+            self.uses.push(0);
+            self.slots.len() - 1
+        })
+    }
+
+    fn insert(&mut self, mut conn: Conn) {
+        let slot = self.slot();
+        conn.interest = conn.wanted();
+        let added = epoll::add(&self.epoll, conn.fd.as_fd(), token(slot, self.uses[slot]), conn.interest);
+        debug_assert!(added.is_ok());
+        self.nodes[conn.node].by_id.insert(conn.id, slot);
+        self.slots[slot] = Slot::Conn(Box::new(conn));
+    }
+
+    fn set_interest(&mut self, slot: usize) {
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        let wanted = if self.nodes[conn.node].frozen { EventFlags::empty() } else { conn.wanted() };
+        if wanted != conn.interest {
+            conn.interest = wanted;
+            let _ = epoll::modify(&self.epoll, &conn.fd, token(slot, self.uses[slot]), wanted);
+        }
+    }
+
+    /// Closes the socket of a slot and frees it.
+    fn close(&mut self, slot: usize) {
+        match std::mem::replace(&mut self.slots[slot], Slot::Free) {
+            Slot::Conn(conn) => {
+                if self.nodes[conn.node].by_id.get(&conn.id) == Some(&slot) {
+                    self.nodes[conn.node].by_id.remove(&conn.id);
+                }
+            }
+            Slot::Listener(_) => self.doors.retain(|&door| door != slot),
+            Slot::Free => return,
+        }
+        self.uses[slot] = self.uses[slot].wrapping_add(1);
+        self.free.push(slot);
+    }
+}
--- /dev/null
+++ b/crates/rulecheck/src/lib.rs
@@ -0,0 +1,474 @@
+//! Judges the five rules from traffic alone: what clients, engines and the list saw on the wire.
+//!
+//! Clients and engines append [`Record`]s as they send and receive; [`judge`] reads them afterwards. The router is
+//! never asked. A request is known by the mark that its client put into the prompt, so that engines can name it
+//! without the router's help.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+
+/// One try of a client: the same request may be asked again as another try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Try {
+    /// The request, the same over its tries.
+    pub request: u64,
+    /// Which of its tries, from 0.
+    pub number: u32,
+}
+
+/// What a request does when it runs, as the checker has to know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run any number of times.
+    Safe,
+    /// Runs once for each key where repeats are dropped.
+    Keyed,
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// The three final answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ending {
+    /// The whole answer.
+    Served,
+    /// Turned away: harmless to try again.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// What an engine does with a request, as it sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Reads the prompt.
+    Read,
+    /// Writes the answer.
+    Write,
+}
+
+/// What was seen, by whom is told by the variant.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// A client sent a try. It waits for its answer to begin until the deadline.
+    Asked {
+        /// Which.
+        what: Try,
+        /// What it does when it runs.
+        effect: Effect,
+        /// When its time is up.
+        deadline: Duration,
+    },
+    /// The first part of an answer reached a client.
+    Began(Try),
+    /// A final answer reached a client.
+    Ended(Try, Ending),
+    /// A client left, or its time was up, without a final answer.
+    Left(Try),
+    /// The connection of a client broke without a final answer: only a router that died may do that.
+    Cut(Try),
+    /// A router died at once with whatever it had taken.
+    RouterDied(String),
+    /// A router was told that an engine takes nothing new (`true`) or again (`false`).
+    Told {
+        /// The router's name, as engines see it.
+        router: String,
+        /// The engine.
+        engine: String,
+        /// It drains or is gone.
+        closed: bool,
+    },
+    /// Work reached an engine, whatever it did with it.
+    Arrived {
+        /// The engine.
+        engine: String,
+        /// The router that sent it.
+        router: String,
+        /// Which.
+        what: Try,
+        /// Reading or writing.
+        stage: Stage,
+    },
+    /// What had arrived is over at the engine: answered, turned away or dropped.
+    Over {
+        /// The engine.
+        engine: String,
+        /// Which.
+        what: Try,
+        /// Reading or writing.
+        stage: Stage,
+    },
+    /// The request had its effect at an engine.
+    Ran {
+        /// The engine.
+        engine: String,
+        /// Which.
+        what: Try,
+    },
+    /// Read state of a request began to wait at an engine.
+    Holds {
+        /// The engine.
+        engine: String,
+        /// Which.
+        what: Try,
+        /// Tells several states of one try apart.
+        state: u64,
+    },
+    /// Held state was taken, let go of, or lost with its engine.
+    LetGo {
+        /// The engine.
+        engine: String,
+        /// Which state.
+        state: u64,
+    },
+    /// An engine died with whatever it had.
+    EngineDied(String),
+    /// A cold engine was sent more than it bears and fell over.
+    Fell(String),
+}
+
+/// What was seen and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub seen: Seen,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// A final answer may come so much after its client's time is up.
+    pub answer_slack: Duration,
+    /// Work may reach a closed engine so long after a router was told.
+    pub drain_grace: Duration,
+    /// Held state is taken or let go of within this time.
+    pub let_go: Duration,
+    /// What the wire and the clocks add to a time measured at an engine.
+    pub wire: Duration,
+}
+
+/// The five rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each request taken gets exactly one final answer before its client's time is up.
+    OneAnswer,
+    /// No effect twice.
+    NoEffectTwice,
+    /// Drains kept.
+    Drains,
+    /// A cold engine is not pushed over.
+    Cold,
+    /// Nothing stays pinned.
+    Pinned,
+}
+
+/// All five, in their order.
+pub const RULES: [Rule; 5] = [Rule::OneAnswer, Rule::NoEffectTwice, Rule::Drains, Rule::Cold, Rule::Pinned];
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rule::OneAnswer => "one final answer in time",
+            Rule::NoEffectTwice => "no effect twice",
+            Rule::Drains => "drains kept",
+            Rule::Cold => "no cold engine pushed over",
+            Rule::Pinned => "nothing left pinned",
+        })
+    }
+}
+
+/// One break of a rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Break {
+    /// Which rule.
+    pub rule: Rule,
+    /// When.
+    pub at: Duration,
+    /// What was seen.
+    pub what: String,
+}
+
+/// Judges the records of one run. They need not be in order.
+pub fn judge(records: &[Record], figures: &Figures) -> Vec<Break> {
+    let mut records: Vec<&Record> = records.iter().collect();
+    records.sort_by_key(|r| r.at);
+    let mut breaks = Vec::new();
+    answers(&records, figures, &mut breaks);
+    effects(&records, &mut breaks);
+    drains(&records, figures, &mut breaks);
+    for r in &records {
+        if let Seen::Fell(engine) = &r.seen {
+            breaks.push(Break { rule: Rule::Cold, at: r.at, what: format!("{engine} fell over") });
+        }
+    }
+    pinned(&records, figures, &mut breaks);
+    breaks.sort_by_key(|b| (b.at, b.rule));
+    breaks
+}
+
+#[derive(Default)]
+struct Asked {
+    deadline: Duration,
+    began: Option<Duration>,
+    endings: usize,
+    left: bool,
+    cut: Option<Duration>,
+}
+
+fn answers(records: &[&Record], figures: &Figures, breaks: &mut Vec<Break>) {
+    let mut tries: BTreeMap<Try, Asked> = BTreeMap::new();
+    let mut died = Vec::new();
+    let mut say = |at, what: String| breaks.push(Break { rule: Rule::OneAnswer, at, what });
+    for r in records {
+        match &r.seen {
+            Seen::Asked { what, deadline, .. } => {
+                tries.insert(*what, Asked { deadline: *deadline, ..Asked::default() });
+            }
+            Seen::Began(what) => {
+                if let Some(t) = tries.get_mut(what) {
+                    t.began.get_or_insert(r.at);
+                }
+            }
+            Seen::Ended(what, ending) => {
+                let Some(t) = tries.get_mut(what) else { continue };
+                t.endings += 1;
+                if t.endings > 1 {
+                    say(r.at, format!("{what:?} got a second final answer, {ending:?}"));
+                }
+                let last = t.deadline + figures.answer_slack;
+                if t.began.unwrap_or(r.at) > last {
+                    say(r.at, format!("{what:?} ended {ending:?} after its time was up"));
+                }
+            }
+            Seen::Left(what) => {
+                if let Some(t) = tries.get_mut(what) {
+                    t.left = true;
+                    if t.endings == 0 && t.began.is_none() && r.at > t.deadline + figures.answer_slack {
+                        say(r.at, format!("{what:?} had no answer when its time was up"));
+                    }
+                }
+            }
+            Seen::Cut(what) => {
+                if let Some(t) = tries.get_mut(what) {
+                    t.cut = Some(r.at);
+                }
+            }
+            Seen::RouterDied(_) => died.push(r.at),
+            _ => {}
+        }
+    }
+    for (what, t) in &tries {
+        let excused = t.left || t.cut.is_some_and(|at| died.iter().any(|&d| d <= at && at <= d + figures.wire));
+        if t.endings == 0 && !excused {
+            say(t.deadline, format!("{what:?} got no final answer"));
+        }
+    }
+}
+
+fn effects(records: &[&Record], breaks: &mut Vec<Break>) {
+    let mut effects: BTreeMap<u64, Effect> = BTreeMap::new();
+    let mut ran: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut refused: BTreeSet<Try> = BTreeSet::new();
+    for r in records {
+        match &r.seen {
+            Seen::Asked { what, effect, .. } => {
+                effects.insert(what.request, *effect);
+            }
+            Seen::Ended(what, Ending::Refused) => {
+                refused.insert(*what);
+            }
+            _ => {}
+        }
+    }
+    for r in records {
+        let Seen::Ran { engine, what } = &r.seen else { continue };
+        let effect = effects.get(&what.request).copied().unwrap_or(Effect::Safe);
+        if effect == Effect::Safe {
+            continue;
+        }
+        let times = ran.entry(what.request).or_default();
+        *times += 1;
+        if *times > 1 {
+            let what = format!("{what:?} ({effect:?}) ran {times} times, last at {engine}");
+            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what });
+        } else if effect == Effect::Unsafe && refused.contains(what) {
+            let what = format!("{what:?} (unsafe) ran at {engine} and was refused as harmless to repeat");
+            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what });
+        }
+    }
+}
+
+fn drains(records: &[&Record], figures: &Figures, breaks: &mut Vec<Break>) {
+    let mut closed: BTreeMap<(&str, &str), Duration> = BTreeMap::new();
+    for r in records {
+        match &r.seen {
+            Seen::Told { router, engine, closed: true } => {
+                closed.entry((router, engine)).or_insert(r.at);
+            }
+            Seen::Told { router, engine, closed: false } => {
+                closed.remove(&(router.as_str(), engine.as_str()));
+            }
+            Seen::RouterDied(router) => closed.retain(|(r, _), _| r != router),
+            Seen::Arrived { engine, router, what, .. } => {
+                let told = closed.get(&(router.as_str(), engine.as_str()));
+                if told.is_some_and(|&told| r.at > told + figures.drain_grace + figures.wire) {
+                    let what = format!("{what:?} reached {engine} from {router} long after it was told of the drain");
+                    breaks.push(Break { rule: Rule::Drains, at: r.at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+struct Held<'a> {
+    engine: &'a str,
+    what: Try,
+    /// Since when nothing is at work; `None` while something is.
+    quiet: Option<Duration>,
+}
+
+/// For each held state: the longest time between its start and its end in which nothing of its try was at work.
+/// What an engine held ends with it; what a router left when it died is for its engines to free.
+fn pinned(records: &[&Record], figures: &Figures, breaks: &mut Vec<Break>) {
+    let mut held: BTreeMap<(&str, u64), Held> = BTreeMap::new();
+    let mut at_work: BTreeMap<Try, Vec<&str>> = BTreeMap::new();
+    let mut routers: BTreeMap<Try, &str> = BTreeMap::new();
+    let most = figures.let_go + figures.wire;
+    let check = |h: &Held, now: Duration, breaks: &mut Vec<Break>| {
+        if h.quiet.is_some_and(|since| now > since + most) {
+            let what = format!("state of {:?} lay at {} with nothing at work", h.what, h.engine);
+            breaks.push(Break { rule: Rule::Pinned, at: now, what });
+        }
+    };
+    for r in records {
+        match &r.seen {
+            Seen::Arrived { what, engine, router, .. } => {
+                routers.insert(*what, router);
+                at_work.entry(*what).or_default().push(engine);
+                for h in held.values_mut().filter(|h| h.what == *what) {
+                    check(h, r.at, breaks);
+                    h.quiet = None;
+                }
+            }
+            Seen::Over { what, engine, .. } => {
+                let Some(places) = at_work.get_mut(what) else { continue };
+                if let Some(at) = places.iter().position(|p| p == engine) {
+                    places.swap_remove(at);
+                }
+                if places.is_empty() {
+                    at_work.remove(what);
+                    held.values_mut().filter(|h| h.what == *what).for_each(|h| h.quiet = Some(r.at));
+                }
+            }
+            Seen::Holds { engine, what, state } => {
+                let quiet = (!at_work.contains_key(what)).then_some(r.at);
+                held.insert((engine, *state), Held { engine, what: *what, quiet });
+            }
+            Seen::LetGo { engine, state } => {
+                if let Some(h) = held.remove(&(engine.as_str(), *state)) {
+                    check(&h, r.at, breaks);
+                }
+            }
+            Seen::EngineDied(engine) => {
+                held.retain(|(at, _), _| at != engine);
+                at_work.retain(|what, places| {
+                    places.retain(|p| p != engine);
+                    if places.is_empty() {
+                        held.values_mut().filter(|h| h.what == *what).for_each(|h| h.quiet = Some(r.at));
+                    }
+                    !places.is_empty()
+                });
+            }
+            Seen::RouterDied(router) => held.retain(|_, h| routers.get(&h.what) != Some(&router.as_str())),
+            _ => {}
+        }
+    }
+    let end = records.last().map_or(Duration::ZERO, |r| r.at);
+    held.values().for_each(|h| check(h, end, breaks));
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    const FIGURES: Figures = Figures {
+        answer_slack: Duration::from_millis(16),
+        drain_grace: Duration::from_millis(2000),
+        let_go: Duration::from_millis(500),
+        wire: Duration::from_millis(50),
+    };
+    const T: Try = Try { request: 1, number: 0 };
+
+    fn broken(records: &[(u64, Seen)]) -> Vec<Rule> {
+        let records: Vec<Record> = records.iter().map(|(at, seen)| Record { at: ms(*at), seen: seen.clone() }).collect();
+        judge(&records, &FIGURES).into_iter().map(|b| b.rule).collect()
+    }
+
+    fn asked(effect: Effect) -> (u64, Seen) {
+        (0, Seen::Asked { what: T, effect, deadline: ms(1000) })
+    }
+
+    fn arrived(at: u64) -> (u64, Seen) {
+        (at, Seen::Arrived { engine: "e".into(), router: "r".into(), what: T, stage: Stage::Write })
+    }
+
+    fn over(at: u64) -> (u64, Seen) {
+        (at, Seen::Over { engine: "e".into(), what: T, stage: Stage::Write })
+    }
+
+    #[test]
+    fn answers_are_counted_and_timed() {
+        let served = |at| (at, Seen::Ended(T, Ending::Served));
+        assert_eq!(broken(&[asked(Effect::Safe), served(900)]), []);
+        assert_eq!(broken(&[asked(Effect::Safe), served(900), served(901)]), [Rule::OneAnswer]);
+        assert_eq!(broken(&[asked(Effect::Safe), served(1100)]), [Rule::OneAnswer]);
+        assert_eq!(broken(&[asked(Effect::Safe), (900, Seen::Began(T)), served(5000)]), [], "a stream has no deadline");
+        assert_eq!(broken(&[asked(Effect::Safe)]), [Rule::OneAnswer]);
+        assert_eq!(broken(&[asked(Effect::Safe), (500, Seen::Left(T))]), []);
+        assert_eq!(broken(&[asked(Effect::Safe), (1100, Seen::Left(T))]), [Rule::OneAnswer], "it had to leave");
+        assert_eq!(broken(&[asked(Effect::Safe), (500, Seen::Cut(T))]), [Rule::OneAnswer]);
+        let died = (490, Seen::RouterDied("r".into()));
+        assert_eq!(broken(&[asked(Effect::Safe), died, (500, Seen::Cut(T))]), []);
+    }
+
+    #[test]
+    fn effects_are_counted() {
+        let ran = |at| (at, Seen::Ran { engine: "e".into(), what: T });
+        let served = (900, Seen::Ended(T, Ending::Served));
+        assert_eq!(broken(&[asked(Effect::Safe), ran(1), ran(2), served.clone()]), []);
+        assert_eq!(broken(&[asked(Effect::Keyed), ran(1), ran(2), served.clone()]), [Rule::NoEffectTwice]);
+        assert_eq!(broken(&[asked(Effect::Unsafe), ran(1), ran(2), served]), [Rule::NoEffectTwice]);
+        let refused = (5, Seen::Ended(T, Ending::Refused));
+        assert_eq!(broken(&[asked(Effect::Unsafe), ran(1), refused]), [Rule::NoEffectTwice]);
+    }
+
+    #[test]
+    fn work_after_the_grace_breaks_a_drain() {
+        let told = |closed| Seen::Told { router: "r".into(), engine: "e".into(), closed };
+        assert_eq!(broken(&[(0, told(true)), arrived(1900), over(1901)]), []);
+        assert_eq!(broken(&[(0, told(true)), arrived(2100), over(2101)]), [Rule::Drains]);
+        assert_eq!(broken(&[(0, told(true)), (500, told(false)), arrived(2100), over(2101)]), []);
+    }
+
+    #[test]
+    fn state_is_pinned_when_nothing_is_at_work() {
+        let holds = (100, Seen::Holds { engine: "e".into(), what: T, state: 7 });
+        let let_go = |at| (at, Seen::LetGo { engine: "e".into(), state: 7 });
+        assert_eq!(broken(&[holds.clone(), let_go(600)]), []);
+        assert_eq!(broken(&[holds.clone(), let_go(700)]), [Rule::Pinned]);
+        assert_eq!(broken(&[holds.clone(), arrived(400), let_go(2000), over(2001)]), [], "it waits for a writer");
+        assert_eq!(broken(&[holds.clone(), arrived(400), over(900), let_go(1500)]), [Rule::Pinned]);
+        assert_eq!(broken(&[holds, (800, Seen::Fell("x".into()))]), [Rule::Cold, Rule::Pinned], "never let go of");
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,28 @@
+//! The INI settings of a router: read, checked as a whole, every fault named with its place.
+//!
+//! `doc` is a document of sections with lines, `values` are the kinds of value, `site` builds a
+//! [`Site`](slipreel_front::Site). Other INI files of this project (days, experiments) are read with the same parts.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod doc;
+mod site;
+mod slices;
+mod values;
+
+pub use doc::{Doc, Fault, Section};
+pub use site::{read_site, Daemon, LogFormat, SITE_SECTIONS};
+pub use slices::engines_from_slices;
+pub use values::{Bytes, Loopback, Name, Value};
+
+/// Reads the settings of a router.
+///
+/// # Errors
+/// Every fault of the text, in the order of its lines.
+pub fn parse(text: &str, file: &str) -> Result<Daemon, Vec<Fault>> {
+    let mut doc = Doc::parse(text, file)?;
+    let daemon = read_site(&mut doc, true);
+    doc.finish(SITE_SECTIONS)?;
+    daemon.ok_or_else(Vec::new)
+}
--- /dev/null
+++ b/crates/settings/src/site.rs
@@ -0,0 +1,281 @@
+//! From sections to a [`Site`]: defaults, and checks across sections.
+
+use crate::doc::Doc;
+use crate::values::{Bytes, Loopback, Name, Value};
+use slipreel::{Class, Effect, EngineState, Group, Limits, ReportSource, Role, Settings, Tenant, ZoneId};
+use slipreel_front::site::{starting_class, starting_settings, Bounds, ClassSite, EngineSite, ModelSite, Site};
+use slipreel_front::site::{TenantSite, KINDS};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The sections of a router's settings.
+pub const SITE_SECTIONS: &[&str] = &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log"];
+
+/// How lines are logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Value for LogFormat {
+    const EXPECTED: &'static str = "text or json";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// What the daemon needs: a site, and what surrounds it.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    /// The site that each front is handed.
+    pub site: Site,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// How many fronts run, each a router of its own on a thread of its own.
+    pub threads: usize,
+    /// A file in the EndpointSlice JSON format with the list of engines, if it comes from there.
+    pub engines_file: Option<PathBuf>,
+    /// How lines are logged.
+    pub log_format: LogFormat,
+    /// Least level of what is logged, as tracing names it.
+    pub log_level: String,
+}
+
+impl Value for ReportSource {
+    const EXPECTED: &'static str = "answers, probes or none";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "answers" => Ok(ReportSource::Answers),
+            "probes" => Ok(ReportSource::Probes),
+            "none" => Ok(ReportSource::None),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// Reads the sections of a site. `None` if something that has to be there is missing; the document says what.
+/// `serves`: it is to be served, so that an address and engines are needed.
+pub fn read_site(doc: &mut Doc, serves: bool) -> Option<Daemon> {
+    let router = doc.one("router");
+    let log = doc.one("log");
+    if router.is_none() && serves {
+        doc.say_file("expected a section [router]");
+    }
+    let any = Loopback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listen = match router {
+        Some(at) if serves => doc.need::<Loopback>(at, "listen"),
+        at => Some(doc.or(at, "listen", any)),
+    };
+    let threads = at_least_one(doc, router, "threads", 1);
+    let others = doc.or(router, "routers", threads as u32);
+    if let Some(at) = router.filter(|_| (others as usize) < threads) {
+        doc.say(at, "routers", format!("{others}: expected at least as many as threads, {threads}: each is a router"));
+    }
+    let (classes, class_sites): (Vec<Class>, Vec<ClassSite>) = read_classes(doc).into_iter().unzip();
+    let (tenants, tenant_sites): (Vec<Tenant>, Vec<TenantSite>) = read_tenants(doc).into_iter().unzip();
+    let engines_file = router.and_then(|at| doc.get::<String>(at, "engines")).map(PathBuf::from);
+    let engines = read_engines(doc);
+    if engines.is_empty() && engines_file.is_none() && serves {
+        doc.say_file("expected [engine NAME] sections, or `engines` in [router]");
+    }
+    let models = read_models(doc, &class_sites);
+    let bounds = read_bounds(doc);
+    let settings = read_settings(doc, router, others, classes, tenants);
+    let site = Site {
+        settings,
+        classes: class_sites,
+        models,
+        tenants: tenant_sites,
+        engines,
+        bounds,
+        zone: doc.or(router, "zone", Name("default".into())).0,
+        name: doc.or(router, "name", Name("slipreel".into())).0,
+    };
+    let log_format = doc.or(log, "format", LogFormat::Text);
+    let log_level = doc.or(log, "level", "info".to_owned());
+    if let Some(at) = log.filter(|_| !["trace", "debug", "info", "warn", "error"].contains(&log_level.as_str())) {
+        doc.say(at, "level", format!("{log_level:?}: expected trace, debug, info, warn or error"));
+    }
+    Some(Daemon { site, listen: listen?.0, threads, engines_file, log_format, log_level })
+}
+
+fn at_least_one(doc: &mut Doc, at: Option<usize>, key: &str, default: usize) -> usize {
+    let n = doc.or(at, key, default);
+    if let (0, Some(at)) = (n, at) {
+        doc.say(at, key, "0: expected 1 or more");
+    }
+    n.max(1)
+}
+
+fn read_settings(
+    doc: &mut Doc, router: Option<usize>, routers: u32, classes: Vec<Class>, tenants: Vec<Tenant>,
+) -> Settings {
+    let at = doc.one("limits");
+    let start = starting_settings();
+    let cold_share = doc.or(at, "cold_share", start.cold_share);
+    if let Some(at) = at.filter(|_| cold_share > 1.0) {
+        doc.say(at, "cold_share", format!("{cold_share}: expected a share from 0 to 1"));
+    }
+    let retry_after = doc.or(at, "retry_after", start.limits.retry_after.unwrap_or_default());
+    Settings {
+        routers,
+        // Named in the site; the front numbers it as its list does.
+        zone: ZoneId(0),
+        tick: doc.or(router, "tick", start.tick),
+        classes,
+        tenants,
+        over_share_worth: doc.or(at, "over_share_worth", start.over_share_worth),
+        kinds: KINDS.to_vec(),
+        writers_read: doc.or(at, "writers_read", start.writers_read),
+        ask_for_engines: false,
+        reports: doc.or(at, "reports", start.reports),
+        limits: Limits {
+            attempts: at_least_one(doc, at, "attempts", start.limits.attempts),
+            cancel: doc.or(at, "cancel", start.limits.cancel),
+            probes: doc.or(at, "probes", start.limits.probes),
+            second_copies: false,
+            retry_after: (retry_after > Duration::ZERO).then_some(retry_after),
+            connect_timeout: doc.or(at, "connect_timeout", start.limits.connect_timeout),
+        },
+        cold_share,
+        cold_time: doc.or(at, "cold_time", start.cold_time),
+        let_go_within: doc.or(at, "let_go_within", start.let_go_within),
+    }
+}
+
+fn read_bounds(doc: &mut Doc) -> Bounds {
+    let at = doc.one("bounds");
+    let start = Bounds::default();
+    Bounds {
+        connections: at_least_one(doc, at, "connections", start.connections),
+        requests: at_least_one(doc, at, "requests", start.requests),
+        body: doc.or(at, "body", Bytes(start.body)).0,
+        unsent: doc.or(at, "unsent", Bytes(start.unsent as u64)).0 as usize,
+        per_engine: at_least_one(doc, at, "per_engine", start.per_engine),
+        idle_per_engine: doc.or(at, "idle_per_engine", start.idle_per_engine),
+        engine_idle: doc.or(at, "engine_idle", start.engine_idle),
+        client_idle: doc.or(at, "client_idle", start.client_idle),
+        receive: doc.or(at, "receive", start.receive),
+        stalled_peer: doc.or(at, "stalled_peer", start.stalled_peer),
+        silent_stream: doc.or(at, "silent_stream", start.silent_stream),
+        probe: doc.or(at, "probe", start.probe),
+        stop: doc.or(at, "stop", start.stop),
+        half_close: doc.or(at, "half_close", start.half_close),
+    }
+}
+
+fn read_classes(doc: &mut Doc) -> Vec<(Class, ClassSite)> {
+    let start = starting_class();
+    let mut classes = Vec::new();
+    for at in doc.all("class") {
+        let name = named(doc, at);
+        let group = doc.or(Some(at), "group", Group::All);
+        let window = doc.or(Some(at), "window", start.window);
+        let word = doc.text(at, "effect").unwrap_or_else(|| "safe".into());
+        let effect = match word.as_str() {
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed { group, window },
+            "unsafe" => Effect::Unsafe,
+            other => {
+                doc.say(at, "effect", format!("{other:?}: expected safe, keyed or unsafe"));
+                Effect::Unsafe
+            }
+        };
+        let aim = doc.or(Some(at), "aim", start.aim);
+        let patience = doc.or(Some(at), "patience", start.patience);
+        if patience <= aim {
+            doc.say(at, "patience", format!("{patience:?}: expected more than the aim, {aim:?}"));
+        }
+        let class = Class {
+            aim,
+            aim_per_1000: doc.or(Some(at), "aim_per_1000", start.aim_per_1000),
+            worth: doc.or(Some(at), "worth", 1.0),
+            effect,
+            streams: true,
+        };
+        classes.push((class, ClassSite { name, patience }));
+    }
+    if classes.is_empty() {
+        doc.say_file("expected at least one section [class NAME]");
+    }
+    classes
+}
+
+/// The name in a section's head.
+fn named(doc: &mut Doc, at: usize) -> String {
+    let (kind, name) = (doc.section(at).kind.clone(), doc.section(at).name.clone());
+    if let Err(expected) = Name::read(&name) {
+        doc.say(at, "", format!("{name:?}: expected [{kind} NAME] with {expected}"));
+    }
+    name
+}
+
+fn read_models(doc: &mut Doc, classes: &[ClassSite]) -> Vec<ModelSite> {
+    let mut models = Vec::new();
+    for at in doc.all("model") {
+        let name = named(doc, at);
+        let served_as = doc.or(Some(at), "served_as", name.clone());
+        let Some(class) = doc.need::<String>(at, "class") else { continue };
+        match classes.iter().position(|c| c.name == class) {
+            Some(class) => models.push(ModelSite { name, class, served_as }),
+            None => doc.say(at, "class", format!("{class:?}: expected the name of a [class] section")),
+        }
+    }
+    if models.is_empty() {
+        doc.say_file("expected at least one section [model NAME]");
+    }
+    models
+}
+
+fn read_tenants(doc: &mut Doc) -> Vec<(Tenant, TenantSite)> {
+    let mut tenants: Vec<(Tenant, TenantSite)> = Vec::new();
+    for at in doc.all("tenant") {
+        let name = named(doc, at);
+        let keys = doc.need::<String>(at, "keys").unwrap_or_default();
+        let keys: Vec<String> = keys.split(',').map(|k| k.trim().to_owned()).filter(|k| !k.is_empty()).collect();
+        if let Some(other) = tenants.iter().find(|(_, t)| t.keys.iter().any(|k| keys.contains(k))) {
+            // The key itself is a secret and is not shown.
+            let what = format!("a key that [tenant {}] has too", other.1.name);
+            doc.say(at, "keys", what);
+        }
+        let quota_per_s = doc.get::<f64>(at, "quota_per_s");
+        let may_choose_class = doc.or(Some(at), "may_choose_class", false);
+        tenants.push((Tenant { quota_per_s }, TenantSite { name, keys, may_choose_class }));
+    }
+    tenants
+}
+
+fn read_engines(doc: &mut Doc) -> Vec<EngineSite> {
+    let mut engines: Vec<EngineSite> = Vec::new();
+    for at in doc.all("engine") {
+        let name = named(doc, at);
+        let addr = doc.need::<Loopback>(at, "address");
+        let role = doc.need::<Role>(at, "role");
+        let zone = doc.or(Some(at), "zone", Name("default".into())).0;
+        let cell = doc.or(Some(at), "cell", Name(zone.clone())).0;
+        let state = doc.or(Some(at), "state", EngineState::Ready);
+        let (Some(Loopback(addr)), Some(role)) = (addr, role) else { continue };
+        if let Some(other) = engines.iter().find(|e| e.addr == addr) {
+            let what = format!("{addr}: [engine {}] has this address already", other.name);
+            doc.say(at, "address", what);
+        }
+        if let Some(other) = engines.iter().find(|e| e.cell == cell && e.zone != zone) {
+            let what = format!("{cell:?}: a cell lies in one zone, and [engine {}] has it in {:?}", other.name, other.zone);
+            doc.say(at, "cell", what);
+        }
+        engines.push(EngineSite { name, addr, role, zone, cell, state });
+    }
+    let can = |wanted: Role| engines.iter().any(|e| e.role == wanted || e.role == Role::Both);
+    if !engines.is_empty() && !(can(Role::Read) && can(Role::Write)) {
+        doc.say_file("expected engines that read and engines that write, or some that do both");
+    }
+    engines
+}
--- /dev/null
+++ b/crates/standin/src/memory.rs
@@ -0,0 +1,511 @@
+//! A network in memory with virtual time: hosts machines, carries their bytes, and is the same for the same seed.
+//!
+//! It keeps what TCP keeps: order, back-pressure (a window for each direction), half-close, resets after what was
+//! sent before them, connections that the system takes up for a process that does not run. It loses nothing by
+//! itself; what goes wrong is the script's affair.
+
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use std::any::Any;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of one direction that may be on their way or unread.
+const WINDOW: usize = 256 << 10;
+
+/// How long things take.
+#[derive(Clone, Copy, Debug)]
+pub struct Delays {
+    /// One way between two machines.
+    pub one_way: Duration,
+    /// Up to so much more, drawn for each piece.
+    pub jitter: Duration,
+}
+
+impl Default for Delays {
+    /// About a loopback's.
+    fn default() -> Self {
+        Delays { one_way: Duration::from_micros(50), jitter: Duration::from_micros(50) }
+    }
+}
+
+enum Piece {
+    Data(Vec<u8>),
+    Fin,
+    Reset,
+}
+
+/// One direction of a link; it leads to `to`.
+#[derive(Default)]
+struct Flow {
+    unsent: VecDeque<Piece>,
+    window: usize,
+    arrived: VecDeque<Piece>,
+    paused: bool,
+    last: Duration,
+    /// The sender has ended it; nothing follows.
+    closed: bool,
+}
+
+#[derive(Clone, Copy)]
+struct End {
+    node: usize,
+    id: ConnId,
+    /// Whether the machine still knows the connection.
+    open: bool,
+}
+
+struct Link {
+    ends: [End; 2],
+    /// `flows[i]` leads to `ends[i]`.
+    flows: [Flow; 2],
+    connected: bool,
+}
+
+enum Event {
+    Wake(usize),
+    Connecting { link: u64, addr: SocketAddr },
+    Connected(u64),
+    Refused { node: usize, id: ConnId, why: Loss },
+    Arrive { link: u64, to: usize, piece: Piece },
+    Deliver { link: u64, to: usize },
+    Sent { link: u64, from: usize, n: usize },
+}
+
+struct Node<M> {
+    machine: M,
+    addrs: Vec<SocketAddr>,
+    accepted: u64,
+    dead: bool,
+    frozen: bool,
+    stopped: bool,
+    wake: Option<Duration>,
+    /// Links that stand and that the frozen machine has not been told of.
+    backlog: Vec<u64>,
+    by_id: HashMap<ConnId, (u64, usize)>,
+}
+
+/// Hosts machines in virtual time.
+pub struct World<M> {
+    now: Duration,
+    seq: u64,
+    heap: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, Event>,
+    nodes: Vec<Node<M>>,
+    listeners: BTreeMap<SocketAddr, usize>,
+    links: HashMap<u64, Link>,
+    next_link: u64,
+    delays: Delays,
+    rng: Xoshiro256PlusPlus,
+    digest: u64,
+    log: Vec<(Duration, usize, String)>,
+    handled: u64,
+}
+
+impl<M: Machine> World<M> {
+    /// An empty world at the time `start`.
+    pub fn new(start: Duration, delays: Delays, seed: u64) -> Self {
+        World {
+            now: start,
+            seq: 0,
+            heap: BinaryHeap::new(),
+            events: HashMap::new(),
+            nodes: Vec::new(),
+            listeners: BTreeMap::new(),
+            links: HashMap::new(),
+            next_link: 0,
+            delays,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            digest: seed,
+            log: Vec::new(),
+            handled: 0,
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// A hash over every byte that was delivered, when and to whom.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Lines that machines wrote for the staff.
+    pub fn log(&self) -> &[(Duration, usize, String)] {
+        &self.log
+    }
+
+    /// Inputs that machines were given so far.
+    pub fn handled(&self) -> u64 {
+        self.handled
+    }
+
+    /// Adds a machine that listens on these addresses.
+    pub fn add(&mut self, machine: M, addrs: &[SocketAddr]) -> usize {
+        let node = self.nodes.len();
+        self.nodes.push(Node {
+            machine,
+            addrs: addrs.to_vec(),
+            accepted: 0,
+            dead: false,
+            frozen: false,
+            stopped: false,
+            wake: None,
+            backlog: Vec::new(),
+            by_id: HashMap::new(),
+        });
+        addrs.iter().for_each(|a| {
+            self.listeners.insert(*a, node);
+        });
+        self.plan_wake(node);
+        node
+    }
+
+    /// A machine.
+    pub fn machine(&self, node: usize) -> &M {
+        &self.nodes[node].machine
+    }
+
+    /// Whether a machine has said that it stopped.
+    pub fn stopped(&self, node: usize) -> bool {
+        self.nodes[node].stopped
+    }
+
+    /// Gives news to a machine.
+    pub fn news(&mut self, node: usize, news: &(dyn Any + Send + Sync)) {
+        self.give(node, Input::News(news));
+    }
+
+    /// Tells a machine to stop in good order.
+    pub fn stop(&mut self, node: usize) {
+        self.give(node, Input::Stop);
+    }
+
+    /// A machine dies at once.
+    pub fn kill(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        n.dead = true;
+        n.backlog.clear();
+        n.by_id.clear();
+        self.listeners.retain(|_, n| *n != node);
+        let mut mine: Vec<u64> = self.links.iter().filter(|(_, l)| l.ends.iter().any(|e| e.node == node && e.open)).map(|(&k, _)| k).collect();
+        mine.sort_unstable();
+        for link in mine {
+            for end in 0..2 {
+                let l = self.links.get(&link);
+                if l.is_some_and(|l| l.ends[end].node == node && l.ends[end].open) {
+                    self.reset(link, end);
+                }
+            }
+        }
+    }
+
+    /// A machine takes the place of one that was killed.
+    pub fn revive(&mut self, node: usize, machine: M) {
+        let n = &mut self.nodes[node];
+        (n.machine, n.dead, n.frozen, n.stopped, n.wake) = (machine, false, false, false, None);
+        for addr in n.addrs.clone() {
+            self.listeners.insert(addr, node);
+        }
+        self.plan_wake(node);
+    }
+
+    /// A machine is not run, or run again.
+    pub fn freeze(&mut self, node: usize, frozen: bool) {
+        self.nodes[node].frozen = frozen;
+        if frozen || self.nodes[node].dead {
+            return;
+        }
+        for link in std::mem::take(&mut self.nodes[node].backlog) {
+            self.accept(link);
+        }
+        let mut mine: Vec<(u64, usize)> = self.nodes[node].by_id.values().copied().collect();
+        mine.sort_unstable();
+        mine.into_iter().for_each(|(link, end)| self.deliver(link, end));
+        self.give(node, Input::Wake);
+    }
+
+    /// Runs until the given time.
+    pub fn run_until(&mut self, until: Duration) {
+        while self.heap.peek().is_some_and(|Reverse((at, _))| *at <= until) {
+            self.step();
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Handles the next event, if there is one.
+    pub fn step(&mut self) -> bool {
+        let Some(Reverse((at, seq))) = self.heap.pop() else { return false };
+        self.now = self.now.max(at);
+        let Some(event) = self.events.remove(&seq) else { return true };
+        match event {
+            Event::Wake(node) => {
+                let n = &mut self.nodes[node];
+                if n.wake == Some(at) {
+                    n.wake = None;
+                }
+                if !n.frozen {
+                    self.give(node, Input::Wake);
+                }
+            }
+            Event::Connecting { link, addr } => self.connecting(link, addr),
+            Event::Connected(link) => self.connected(link),
+            Event::Refused { node, id, why } => {
+                if self.nodes[node].by_id.remove(&id).is_some() {
+                    self.give(node, Input::Lost(id, why));
+                }
+            }
+            Event::Arrive { link, to, piece } => {
+                if let Some(l) = self.links.get_mut(&link) {
+                    l.flows[to].arrived.push_back(piece);
+                    self.deliver(link, to);
+                }
+            }
+            Event::Deliver { link, to } => self.deliver(link, to),
+            Event::Sent { link, from, n } => {
+                let end = self.links.get(&link).map(|l| l.ends[from]);
+                if let Some(end) = end.filter(|e| e.open) {
+                    self.give(end.node, Input::Sent(end.id, n));
+                }
+            }
+        }
+        true
+    }
+
+    fn plan(&mut self, at: Duration, event: Event) {
+        self.seq += 1;
+        self.heap.push(Reverse((at, self.seq)));
+        self.events.insert(self.seq, event);
+    }
+
+    fn delay(&mut self) -> Duration {
+        let part = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        self.delays.one_way + self.delays.jitter.mul_f64(part)
+    }
+
+    fn plan_wake(&mut self, node: usize) {
+        let n = &self.nodes[node];
+        if n.dead {
+            return;
+        }
+        let Some(at) = n.machine.wake_at() else { return };
+        // Never in the past, and never now again: a machine that asks for it would stop the clock.
+        let at = at.max(self.now + Duration::from_micros(1));
+        if n.wake.is_none_or(|planned| at < planned) {
+            self.nodes[node].wake = Some(at);
+            self.plan(at, Event::Wake(node));
+        }
+    }
+
+    // ---- Links ---------------------------------------------------------------------------------
+
+    fn connecting(&mut self, link: u64, addr: SocketAddr) {
+        let Some(l) = self.links.get(&link) else { return };
+        let from = l.ends[0];
+        let Some(&node) = self.listeners.get(&addr).filter(|_| from.open) else {
+            self.links.remove(&link);
+            let at = self.now + self.delay();
+            return self.plan(at, Event::Refused { node: from.node, id: from.id, why: Loss::NotConnected });
+        };
+        if let Some(l) = self.links.get_mut(&link) {
+            l.ends[1].node = node;
+        }
+        let at = self.now + self.delay();
+        self.plan(at, Event::Connected(link));
+        if self.nodes[node].frozen {
+            self.nodes[node].backlog.push(link);
+        } else {
+            self.accept(link);
+        }
+    }
+
+    fn accept(&mut self, link: u64) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let node = l.ends[1].node;
+        let n = &mut self.nodes[node];
+        n.accepted += 1;
+        let id = ConnId(n.accepted);
+        l.ends[1] = End { node, id, open: true };
+        n.by_id.insert(id, (link, 1));
+        self.give(node, Input::Accepted(id));
+        self.deliver(link, 1);
+    }
+
+    fn connected(&mut self, link: u64) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        if l.ends[0].open && !std::mem::replace(&mut l.connected, true) {
+            let End { node, id, .. } = l.ends[0];
+            self.give(node, Input::Connected(id));
+            self.deliver(link, 0);
+        }
+    }
+
+    /// Sends what the window takes in the direction to `to`.
+    fn launch(&mut self, link: u64, to: usize) {
+        loop {
+            let delay = self.delay();
+            let Some(l) = self.links.get_mut(&link) else { return };
+            let flow = &mut l.flows[to];
+            let fits = match flow.unsent.front() {
+                Some(Piece::Data(_)) => flow.window < WINDOW,
+                Some(_) => true,
+                None => return,
+            };
+            if !fits {
+                return;
+            }
+            let Some(piece) = flow.unsent.pop_front() else { return };
+            let at = flow.last.max(self.now + delay);
+            flow.last = at;
+            if let Piece::Data(bytes) = &piece {
+                let n = bytes.len();
+                flow.window += n;
+                self.plan(self.now, Event::Sent { link, from: 1 - to, n });
+            }
+            self.plan(at, Event::Arrive { link, to, piece });
+        }
+    }
+
+    /// Hands over what has arrived at an end, while its machine takes it.
+    fn deliver(&mut self, link: u64, to: usize) {
+        loop {
+            let Some(l) = self.links.get_mut(&link) else { return };
+            let end = l.ends[to];
+            if self.nodes[end.node].frozen || (to == 0 && !l.connected) || (to == 1 && end.id == ConnId(0)) {
+                return;
+            }
+            if !end.open {
+                l.flows[to].arrived.clear();
+                return;
+            }
+            let flow = &mut l.flows[to];
+            let is_data = matches!(flow.arrived.front(), Some(Piece::Data(_) | Piece::Fin));
+            if flow.paused && is_data {
+                return;
+            }
+            let Some(piece) = flow.arrived.pop_front() else { return };
+            match piece {
+                Piece::Data(bytes) => {
+                    flow.window -= bytes.len().min(flow.window);
+                    let when = self.now.as_nanos() as u64 ^ (end.node as u64) << 56 ^ end.id.0;
+                    self.digest = xxh3_64_with_seed(&bytes, self.digest ^ when);
+                    self.give(end.node, Input::Data(end.id, &bytes));
+                    self.launch(link, to);
+                }
+                Piece::Fin => self.give(end.node, Input::Eof(end.id)),
+                Piece::Reset => {
+                    self.close_end(link, to);
+                    self.give(end.node, Input::Lost(end.id, Loss::Reset));
+                }
+            }
+        }
+    }
+
+    /// An end is closed at once: the other learns of it after what was sent before.
+    fn reset(&mut self, link: u64, end: usize) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let flow = &mut l.flows[1 - end];
+        flow.unsent.clear();
+        if !std::mem::replace(&mut flow.closed, true) {
+            flow.unsent.push_back(Piece::Reset);
+        }
+        self.launch(link, 1 - end);
+        self.close_end(link, end);
+    }
+
+    fn close_end(&mut self, link: u64, end: usize) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.ends[end].open = false;
+        let End { node, id, .. } = l.ends[end];
+        self.nodes[node].by_id.remove(&id);
+        if !l.ends[1 - end].open {
+            // What is still on its way finds nobody.
+            self.links.remove(&link);
+        }
+    }
+
+    // ---- Machines ------------------------------------------------------------------------------
+
+    fn give(&mut self, node: usize, input: Input<'_>) {
+        if self.nodes[node].dead {
+            return;
+        }
+        self.handled += 1;
+        let mut out = Vec::new();
+        self.nodes[node].machine.handle(self.now, input, &mut out);
+        for output in out {
+            self.carry_out(node, output);
+        }
+        self.plan_wake(node);
+    }
+
+    fn carry_out(&mut self, node: usize, output: Output) {
+        let found = |id: &ConnId| self.nodes[node].by_id.get(id).copied();
+        match output {
+            Output::Connect(id, addr) => {
+                self.next_link += 1;
+                let link = self.next_link;
+                let (from, to) = (End { node, id, open: true }, End { node: 0, id: ConnId(0), open: false });
+                self.links.insert(link, Link { ends: [from, to], flows: Default::default(), connected: false });
+                self.nodes[node].by_id.insert(id, (link, 0));
+                let at = self.now + self.delay();
+                self.plan(at, Event::Connecting { link, addr });
+            }
+            Output::Write(id, bytes) => {
+                let Some((link, end)) = found(&id) else { return };
+                if let Some(l) = self.links.get_mut(&link) {
+                    l.flows[1 - end].unsent.push_back(Piece::Data(bytes));
+                    self.launch(link, 1 - end);
+                }
+            }
+            Output::Shut(id) => {
+                let Some((link, end)) = found(&id) else { return };
+                if let Some(l) = self.links.get_mut(&link) {
+                    if !std::mem::replace(&mut l.flows[1 - end].closed, true) {
+                        l.flows[1 - end].unsent.push_back(Piece::Fin);
+                    }
+                }
+                self.launch(link, 1 - end);
+            }
+            Output::Finish(id) => {
+                let Some((link, end)) = found(&id) else { return };
+                if let Some(l) = self.links.get_mut(&link) {
+                    if !std::mem::replace(&mut l.flows[1 - end].closed, true) {
+                        l.flows[1 - end].unsent.push_back(Piece::Fin);
+                    }
+                    // What comes in from now on is dropped, so that the other side is not held up.
+                    l.flows[end].paused = false;
+                }
+                self.launch(link, 1 - end);
+                self.close_end(link, end);
+                self.deliver(link, end);
+            }
+            Output::Abort(id) => {
+                let Some((link, end)) = found(&id) else { return };
+                self.reset(link, end);
+            }
+            Output::Pause(id) | Output::Resume(id) => {
+                let Some((link, end)) = found(&id) else { return };
+                let paused = matches!(output, Output::Pause(_));
+                if let Some(l) = self.links.get_mut(&link) {
+                    l.flows[end].paused = paused;
+                }
+                if !paused {
+                    // In a moment of its own: the machine is in the midst of its outputs.
+                    self.plan(self.now, Event::Deliver { link, to: end });
+                }
+            }
+            Output::Stopped => {
+                self.nodes[node].stopped = true;
+                self.listeners.retain(|_, n| *n != node);
+            }
+            Output::Log(line) => self.log.push((self.now, node, line)),
+        }
+    }
+}
--- a/src/bin/slipreel-adapter/wire.rs
+++ b/src/bin/slipreel-adapter/wire.rs
@@ -338,7 +338,7 @@
                 let limit = limit.map_or([0; 8], |d| ms(&d));
                 (8, [&request.0.to_be_bytes()[..], &engine_bytes(engine), &limit].concat())
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 let wait = retry_after.map_or([0; 8], |d| ms(&d));
                 (9, [request.0.to_be_bytes(), wait].concat())
             }
@@ -496,7 +496,7 @@
                 Action::Send { request: id, engine, limit: Some(wait) },
                 format!("08 00000018 {ID} 0a124a07 2bc3 4054000000000000"),
             ),
-            (Action::Refuse { request: id, retry_after: None }, format!("09 00000012 {ID} 0000000000000000")),
+            (Action::Refuse { request: id, retry_after: None, over_share: false }, format!("09 00000012 {ID} 0000000000000000")),
             (Action::Reserve { request: id, engine }, format!("0a 00000010 {ID} 0a124a07 2bc3")),
             (Action::Probe(engine), "0b 00000008 0003 0a124a07 2bc3".into()),
             (
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -363,6 +363,8 @@
         request: RequestId,
         /// When the client may come again.
         retry_after: Option<Duration>,
+        /// The tenant was over its share when it asked, so that its own restraint would help.
+        over_share: bool,
     },
     /// Final answer: failed, with no promise.
     Fail(RequestId),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -135,6 +135,8 @@
     /// The first attempt that may have had an effect: which, when and where.
     may_have_run: Option<(usize, Duration, EngineId)>,
     ended: bool,
+    /// Its tenant was over its share when it came.
+    over_share: bool,
     /// Until when it waits: for an engine, or for the answers of those in `choice`.
     parked: Option<Duration>,
     choice: Option<Choice>,
@@ -238,12 +240,13 @@
             return out.push(Action::Fail(id));
         }
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
-        let droppable = self.droppable(now, &request);
+        let over_share = self.over_share(now, &request);
+        let droppable = self.droppable(over_share, &request);
         let saturation = self.stage(now, Role::Read).max(self.stage(now, Role::Write));
         let chance = refusal_chance(saturation, droppable);
         let refused = self.hopeless(&request) || self.chance() < chance;
         let deadline = now + request.time_left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
-        let job = Job { request, deadline, ..Job::default() };
+        let job = Job { request, deadline, over_share, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
             self.ask_anyone(now, out);
@@ -266,8 +269,7 @@
 
     /// Whether the curve may refuse this request: it is worth less than the best, by its class or
     /// because its tenant is over its share; where all are worth the same, the loosest aim yields.
-    fn droppable(&mut self, now: Duration, request: &Request) -> bool {
-        let over = self.over_share(now, request);
+    fn droppable(&self, over: bool, request: &Request) -> bool {
         let class = &self.settings.classes[request.class.0];
         let worth = class.worth * if over { self.settings.over_share_worth } else { 1.0 };
         worth < self.top_worth || self.loose_aim == Some(class.aim)
@@ -652,10 +654,11 @@
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
         let harmless = job.may_have_run.is_none()
             || matches!(self.effect(job), Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let over_share = job.over_share;
         let answer = if harmless {
             let wait = RETRY_AFTER.mul_f64(0.5 + self.chance());
             let retry_after = self.settings.limits.retry_after.map(|most| wait.min(most));
-            Action::Refuse { request: id, retry_after }
+            Action::Refuse { request: id, retry_after, over_share }
         } else {
             Action::Fail(id)
         };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -83,7 +83,7 @@
         let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
         host.report(2, 30_000.0);
         let out = host.ask(request(1, 1));
-        assert!(out.contains(&Action::Refuse { request: RequestId(1), retry_after: most }), "{out:?}");
+        assert!(out.contains(&Action::Refuse { request: RequestId(1), retry_after: most, over_share: false }), "{out:?}");
     }
 }
 
@@ -581,3 +581,25 @@
     assert!(timers(&out).iter().all(|(_, after)| *after <= ms(3_600_000)), "{out:?}");
     assert!(sent_to(&out).is_some());
 }
+
+/// A refusal says whether the tenant's own restraint would have helped, so that the host can tell it so.
+#[test]
+fn a_refusal_names_a_tenant_over_its_share() {
+    let tenants = vec![Tenant { quota_per_s: Some(1.0) }, Tenant { quota_per_s: None }];
+    let engines = vec![engine(1, 0, 0), engine(2, 1, 0)];
+    let mut host = Host::new(Settings { tenants, ..settings(Effect::Safe) }, 3, engines);
+    host.report(1, 300_000.0);
+    let told = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Refuse { over_share, .. } => Some(*over_share),
+            _ => None,
+        })
+    };
+    let mut over = Vec::new();
+    for id in 0..40 {
+        let out = host.ask(Request { tenant: TenantId(id as usize % 2), ..request(id, 1) });
+        over.push((id % 2, told(&out).expect("all of the lower class are refused")));
+    }
+    assert!(over.iter().all(|&(tenant, over)| tenant == 0 || !over), "{over:?}");
+    assert!(!over[0].1 && over[38].1, "{over:?}");
+}
