--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -1,7 +1,8 @@
 //! Carries out what the module decides: attempts, cancels, probes, aborts, timers. Decides nothing itself.
 
 use crate::call::Final;
-use crate::front::{Alarm, Decided, Front};
+use crate::front::{Alarm, Decided, Front, LettingGo};
+use crate::limits;
 use crate::link::{Link, State, Use};
 use crate::pool::Slot;
 use slipreel::{Action, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId};
@@ -111,7 +112,8 @@
     /// What a connection carried is over.
     pub(crate) fn carried_ended(&mut self, link: &Link, outcome: Outcome, out: &mut Vec<Output>) {
         match (link.state, link.used_for) {
-            (State::Idle, _) | (_, Use::Abort) => {}
+            (State::Idle, _) => {}
+            (_, Use::Abort(n)) => self.not_let_go(n),
             (_, Use::Probe) => self.probed(link.engine, outcome, LoadReport::default()),
             (_, Use::Attempt { call, attempt, .. }) => {
                 self.attempt_broke(RequestId(call), attempt, outcome, out);
@@ -122,12 +124,37 @@
     fn release(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         for (engine, addr, name) in call.release() {
-            let body = engine::abort_body(&name);
-            let host = addr.to_string();
-            let fields = [("host", host.as_str()), ("content-type", "application/json")];
-            let mut bytes = http::request_head("POST", "/abort_requests", &fields, Framing::Length(body.len()));
-            bytes.extend_from_slice(body.as_bytes());
-            self.exchange(engine, addr, Use::Abort, bytes, out);
+            self.next_conn += 1;
+            let n = self.next_conn;
+            self.letting_go.insert(n, LettingGo { engine, addr, name, told: 0 });
+            self.let_go(n, out);
+        }
+    }
+
+    /// Tells an engine to let go of state.
+    pub(crate) fn let_go(&mut self, n: u64, out: &mut Vec<Output>) {
+        let Some(state) = self.letting_go.get_mut(&n) else { return };
+        state.told += 1;
+        let (engine, addr) = (state.engine, state.addr);
+        let (body, host) = (engine::abort_body(&state.name), addr.to_string());
+        let fields = [("host", host.as_str()), ("content-type", "application/json")];
+        let mut bytes = http::request_head("POST", "/abort_requests", &fields, Framing::Length(body.len()));
+        bytes.extend_from_slice(body.as_bytes());
+        if self.exchange(engine, addr, Use::Abort(n), bytes, out).is_none() {
+            self.not_let_go(n);
+        }
+    }
+
+    /// An engine could not be told.
+    pub(crate) fn not_let_go(&mut self, n: u64) {
+        let Some(state) = self.letting_go.get(&n) else { return };
+        match limits::tell_again(state.told) {
+            Some(wait) => {
+                self.wheel.set(self.now + wait, Alarm::LetGo(n));
+            }
+            None => {
+                self.letting_go.remove(&n);
+            }
         }
     }
 
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -133,12 +133,13 @@
                     out.push(Output::Log(format!("engine {}: {why}", self.engine_name(engine))));
                     self.drop_link(conn, out, Outcome::Error);
                 }
-                // The answer of an abort call, whatever it is, and answers that fit no exchange.
-                (_, Use::Abort | Use::Probe) => {
+                (_, Use::Abort(n)) => {
                     self.exchange_over(conn, out);
-                    if used_for == Use::Probe {
-                        self.probed(engine, Outcome::Error, LoadReport::default());
-                    }
+                    self.letting_go.remove(&n);
+                }
+                (_, Use::Probe) => {
+                    self.exchange_over(conn, out);
+                    self.probed(engine, Outcome::Error, LoadReport::default());
                 }
                 (_, Use::Attempt { .. }) => self.drop_link(conn, out, Outcome::Error),
             }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -46,10 +46,21 @@
     Attempt(RequestId, usize),
     /// A client that waits for a whole answer gives up.
     Whole(RequestId),
+    /// An engine that could not be told to let go of state is told again.
+    LetGo(u64),
     /// Time to end what still runs after a stop.
     StopBy,
 }
 
+/// State that an engine is to let go of.
+pub(crate) struct LettingGo {
+    pub(crate) engine: EngineId,
+    pub(crate) addr: std::net::SocketAddr,
+    /// What the engine knows it by.
+    pub(crate) name: String,
+    pub(crate) told: u32,
+}
+
 /// A router and the site that it was made from. After a reload the older one ends what it has taken.
 pub(crate) struct Brain {
     pub(crate) generation: u64,
@@ -77,6 +88,8 @@
     /// What the module is to be told, and by whose router; `None`: all.
     pub(crate) events: VecDeque<(Option<u64>, Event)>,
     pub(crate) reap: Vec<RequestId>,
+    /// What engines have to be told to let go of, until they have heard it.
+    pub(crate) letting_go: BTreeMap<u64, LettingGo>,
     /// Engine connections whose client has left.
     pub(crate) orphans: Vec<ConnId>,
     pub(crate) next_conn: u64,
@@ -105,6 +118,7 @@
             wheel: Wheel::default(),
             events: VecDeque::new(),
             reap: Vec::new(),
+            letting_go: BTreeMap::new(),
             orphans: Vec::new(),
             next_conn: 0,
             next_call: 0,
@@ -213,7 +227,7 @@
         match (link.state, link.used_for) {
             (LinkState::Connecting, _) => Some(link.since + self.site.settings.limits.connect_timeout),
             (LinkState::Idle, _) => Some(link.since + bounds.engine_idle),
-            (LinkState::Busy, Use::Probe | Use::Abort) => Some(link.since + bounds.probe),
+            (LinkState::Busy, Use::Probe | Use::Abort(_)) => Some(link.since + bounds.probe),
             (LinkState::Busy, Use::Attempt { call, attempt, .. }) => {
                 let begun = self.calls.get(&RequestId(call)).is_some_and(|c| c.begun == Some(attempt));
                 (begun && !link.paused).then(|| link.since + bounds.silent_stream)
@@ -254,6 +268,7 @@
             }
             Alarm::Attempt(id, attempt) => self.attempt_late(id, attempt, out),
             Alarm::Whole(id) => self.whole_late(id, out),
+            Alarm::LetGo(n) => self.let_go(n, out),
             Alarm::StopBy => self.stop_by(out),
         }
     }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -22,8 +22,8 @@
     Attempt { call: u64, attempt: usize, read: bool },
     /// A probe of the engine's load.
     Probe,
-    /// An abort call, whose answer does not matter.
-    Abort,
+    /// An abort call; the number is that of what it says.
+    Abort(u64),
 }
 
 /// Where a connection stands.
@@ -194,7 +194,7 @@
                 Err(why) => Said::Failed(why),
             },
             (200, Use::Probe) => Said::Load(engine::metrics(&String::from_utf8_lossy(body))),
-            (200, Use::Abort) => Said::Done,
+            (200, Use::Abort(_)) => Said::Done,
             (200, Use::Attempt { .. }) => Said::Failed("no stream where one was asked for".into()),
             _ => match engine::error_type(body) {
                 Some((kind, _)) if kind == engine::FULL => Said::Full { no_state: false },
--- a/crates/front/src/wheel.rs
+++ b/crates/front/src/wheel.rs
@@ -67,7 +67,9 @@
 
     /// Sets a timer for `at`; it fires at the first tick that is not before.
     pub fn set(&mut self, at: Duration, item: T) -> TimerKey {
-        let at = u64::try_from(at.as_micros().div_ceil(1000)).unwrap_or(FARTHEST).min(FARTHEST);
+        // Rounded up from the finest part of the clock: one that fires a nanosecond early finds its time not come,
+        // is set again for the same tick, and so on without end.
+        let at = u64::try_from(at.as_nanos().div_ceil(1_000_000)).unwrap_or(FARTHEST).min(FARTHEST);
         self.sets += 1;
         let entry = Entry { at, set: self.sets, item: Some(item) };
         let index = self.free.pop().unwrap_or_else(|| {
@@ -225,5 +227,8 @@
         wheel.set(Duration::from_micros(1_500), 'a');
         assert_eq!(wheel.pop(Duration::from_micros(1_900)), None);
         assert_eq!(wheel.pop(Duration::from_micros(2_000)), Some('a'));
+        wheel.set(Duration::from_nanos(3_000_019), 'b');
+        assert_eq!(wheel.pop(Duration::from_nanos(3_000_018)), None);
+        assert_eq!(wheel.pop(Duration::from_nanos(4_000_000)), Some('b'));
     }
 }
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -1,7 +1,10 @@
 //! Cuts a machine off from some peers, as a lost link does: connections opened to them stay open and silent, new
 //! ones do not come to stand. What was under way goes on when the link is back.
 
+use crate::ledger::Ledger;
+use crate::mark::Mark;
 use slipreel_machine::{ConnId, Input, Machine, Output};
+use slipreel_rulecheck::{Seen, Try};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,12 +25,32 @@
     cut: BTreeSet<SocketAddr>,
     peers: BTreeMap<ConnId, SocketAddr>,
     held: Vec<Held>,
+    ledger: Option<Ledger>,
+    /// Work that waits on a cut link, by connection.
+    on_the_way: BTreeMap<ConnId, Try>,
 }
 
 impl<M: Machine> Gate<M> {
     /// A machine whose links all stand.
     pub fn new(machine: M) -> Self {
-        Gate { machine, cut: BTreeSet::new(), peers: BTreeMap::new(), held: Vec::new() }
+        Gate { machine, cut: BTreeSet::new(), peers: BTreeMap::new(), held: Vec::new(), ledger: None, on_the_way: BTreeMap::new() }
+    }
+
+    /// Notes work that its machine sends and that waits on a cut link.
+    pub fn watched(mut self, ledger: Ledger) -> Self {
+        self.ledger = Some(ledger);
+        self
+    }
+
+    fn note_way(&mut self, now: Duration, conn: ConnId, what: Option<Try>) {
+        let way = conn.0;
+        if let Some(what) = self.on_the_way.remove(&conn) {
+            self.ledger.iter().for_each(|l| l.note(now, Seen::OffTheWay { what, way }));
+        }
+        if let Some(what) = what {
+            self.on_the_way.insert(conn, what);
+            self.ledger.iter().for_each(|l| l.note(now, Seen::OnTheWay { what, way }));
+        }
     }
 
     /// The machine.
@@ -39,7 +62,7 @@
         self.peers.get(&conn).is_some_and(|addr| self.cut.contains(addr))
     }
 
-    fn filter(&mut self, asked: Vec<Output>, out: &mut Vec<Output>) {
+    fn filter(&mut self, now: Duration, asked: Vec<Output>, out: &mut Vec<Output>) {
         for output in asked {
             let conn = match &output {
                 Output::Connect(conn, addr) => {
@@ -51,6 +74,17 @@
             };
             let cut = conn.is_some_and(|c| self.is_cut(c));
             let last = matches!(output, Output::Finish(_) | Output::Abort(_));
+            if let (true, Some(conn)) = (cut, conn) {
+                match &output {
+                    Output::Write(_, bytes) => {
+                        if let Some(mark) = Mark::find(&String::from_utf8_lossy(bytes)) {
+                            self.note_way(now, conn, Some(mark.what));
+                        }
+                    }
+                    _ if last => self.note_way(now, conn, None),
+                    _ => {}
+                }
+            }
             if cut {
                 // A connection that never stood is forgotten; one that stood learns of its end with the link.
                 let unknown = |h: &Held| matches!(h, Held::Out(Output::Connect(c, _)) if Some(*c) == conn);
@@ -71,7 +105,7 @@
     fn tell(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         let mut asked = Vec::new();
         self.machine.handle(now, input, &mut asked);
-        self.filter(asked, out);
+        self.filter(now, asked, out);
     }
 
     fn set(&mut self, now: Duration, cut: &Cut, out: &mut Vec<Output>) {
@@ -90,7 +124,10 @@
             match held {
                 Held::In(conn, bytes) => self.tell(now, Input::Data(conn, &bytes), out),
                 Held::Eof(conn) => self.tell(now, Input::Eof(conn), out),
-                Held::Out(output) => out.push(output),
+                Held::Out(output) => {
+                    self.note_way(now, conn, None);
+                    out.push(output);
+                }
             }
         }
     }
