--- a/crates/day/src/actor.rs
+++ b/crates/day/src/actor.rs
@@ -1,6 +1,7 @@
 //! The machines of a day, as one type, so that one driver hosts them all.
 
 use slipreel_front::Front;
+use slipreel_front::site::EngineSite;
 use slipreel_machine::{Input, Machine, Output};
 use slipreel_standin::client::Clients;
 use slipreel_standin::engine::Engine;
@@ -13,6 +14,8 @@
     Idle,
     /// A router.
     Front(Box<Gate<Front>>),
+    /// A router that is broken on purpose.
+    Sabotaged(Box<Sabotaged>),
     /// An engine.
     Engine(Box<Gate<Engine>>),
     /// The clients.
@@ -24,6 +27,7 @@
         match self {
             Actor::Idle => {}
             Actor::Front(m) => m.handle(now, input, out),
+            Actor::Sabotaged(m) => m.handle(now, input, out),
             Actor::Engine(m) => m.handle(now, input, out),
             Actor::Clients(m) => m.handle(now, input, out),
         }
@@ -33,8 +37,59 @@
         match self {
             Actor::Idle => None,
             Actor::Front(m) => m.wake_at(),
+            Actor::Sabotaged(m) => m.wake_at(),
             Actor::Engine(m) => m.wake_at(),
             Actor::Clients(m) => m.wake_at(),
         }
     }
 }
+
+/// How a router is broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// The ends of its answers are lost.
+    LosesEnds,
+    /// It hears nothing of the list of engines.
+    IgnoresLists,
+    /// It lets go of no held state.
+    NeverLetsGo,
+}
+
+/// A router whose words are tampered with on their way.
+pub struct Sabotaged {
+    router: Gate<Front>,
+    how: Sabotage,
+}
+
+impl Sabotaged {
+    pub(crate) fn new(router: Gate<Front>, how: Sabotage) -> Self {
+        Sabotaged { router, how }
+    }
+
+    fn passes(&self, output: &Output) -> bool {
+        let Output::Write(conn, bytes) = output else { return true };
+        let holds = |text: &str| bytes.windows(text.len()).any(|w| w == text.as_bytes());
+        match self.how {
+            Sabotage::LosesEnds => conn.is_opened() || !holds("message_stop"),
+            Sabotage::NeverLetsGo => !(conn.is_opened() && holds("/abort_requests")),
+            Sabotage::IgnoresLists => true,
+        }
+    }
+}
+
+impl Machine for Sabotaged {
+    fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
+        if let (Input::News(news), Sabotage::IgnoresLists) = (&input, self.how) {
+            if news.is::<Vec<EngineSite>>() {
+                return;
+            }
+        }
+        let mut asked = Vec::new();
+        self.router.handle(now, input, &mut asked);
+        out.extend(asked.into_iter().filter(|o| self.passes(o)));
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        self.router.wake_at()
+    }
+}
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A day: its site, its engines and its traffic.
 
+use crate::actor::Sabotage;
 use crate::trouble::Trouble;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -91,6 +92,8 @@
     pub troubles: Vec<Trouble>,
     /// How late the list tells of what happened.
     pub notice: Duration,
+    /// The routers are broken on purpose, to try the rule checker.
+    pub sabotage: Option<Sabotage>,
 }
 
 impl Day {
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -15,7 +15,7 @@
 mod stage;
 mod trouble;
 
-pub use actor::Actor;
+pub use actor::{Actor, Sabotage};
 pub use fleet::{spread_traffic, Day, EnginePlan, Traffic};
 pub use report::{figures_of, Group, Report};
 pub use script::{read_day, DAY_SECTIONS};
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -43,7 +43,7 @@
     let Some(Daemon { site, .. }) = site else { return Err(Vec::new()) };
     shape_traffic(&mut streams, &troubles);
     let plans = spread_traffic(&site, &streams, seed, 1);
-    Ok(Day { seed, length, routers, site, engines, plans, troubles, notice })
+    Ok(Day { seed, length, routers, site, engines, plans, troubles, notice, sabotage: None })
 }
 
 fn read_engines(doc: &mut Doc) -> Vec<EnginePlan> {
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -1,6 +1,6 @@
 //! The director: carries out a day's acts at their times on either driver, keeps the list of engines, ends the day.
 
-use crate::actor::Actor;
+use crate::actor::{Actor, Sabotaged};
 use crate::fleet::Day;
 use crate::report::{figures_of, Report};
 use crate::trouble::Act;
@@ -156,7 +156,11 @@
         self.lives += 1;
         let seed = self.day.seed.wrapping_mul(0x9e37_79b9).wrapping_add(r as u64 + 1000 * self.lives);
         let front = Front::new(Arc::new(site), seed, now, WALL + now);
-        Actor::Front(Box::new(Gate::new(front).watched(self.ledger.clone())))
+        let gate = Gate::new(front).watched(self.ledger.clone());
+        match self.day.sabotage {
+            None => Actor::Front(Box::new(gate)),
+            Some(how) => Actor::Sabotaged(Box::new(Sabotaged::new(gate, how))),
+        }
     }
 
     /// Plays the day out.
@@ -222,6 +226,10 @@
                 self.cut = zone;
                 self.cut_links(stage);
             }
+            Act::CutLink(e, to) => {
+                let cut: BTreeSet<SocketAddr> = to.map(|to| self.addrs[to]).into_iter().collect();
+                stage.news(Who::Engine(e), Arc::new(Cut(cut)));
+            }
             Act::ListDraining(e, draining) => {
                 self.draining[e] = draining;
                 self.list_changes(now);
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{chance, Day};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use slipreel_standin::engine::Fault;
+use slipreel_standin::engine::{Fault, Garbage};
 use std::time::Duration;
 
 /// A kind of trouble. Bursts, long prompts and impatient clients are traffic; the rest is done to machines.
@@ -44,10 +44,18 @@
     RetryAbuse,
     /// Engines drain, leave, and come back started anew.
     Drain,
+    /// The first engine named can't reach the second, to fetch state.
+    LinkCut,
+    /// Engines take connections and say nothing at all.
+    Deaf,
+    /// Engines answer garbage of a kind, by its number in the order of its list.
+    Garbage,
+    /// Engines close a connection in the moment that a request arrives on it.
+    ClosesOnUse,
 }
 
 /// All kinds with their names in scripts.
-pub(crate) const KINDS: [(&str, Kind); 18] = [
+pub(crate) const KINDS: [(&str, Kind); 22] = [
     ("crash", Kind::Crash),
     ("slow", Kind::Slow),
     ("pauses", Kind::Pauses),
@@ -66,6 +74,24 @@
     ("throttle", Kind::Throttle),
     ("retry_abuse", Kind::RetryAbuse),
     ("drain", Kind::Drain),
+    ("link_cut", Kind::LinkCut),
+    ("deaf", Kind::Deaf),
+    ("garbage", Kind::Garbage),
+    ("closes_on_use", Kind::ClosesOnUse),
+];
+
+/// The kinds of garbage by number.
+const GARBAGE: [Garbage; 10] = [
+    Garbage::NotHttp,
+    Garbage::EndlessHead,
+    Garbage::WrongLength,
+    Garbage::BrokenChunk,
+    Garbage::TwoLengths,
+    Garbage::BreaksAfterFirst,
+    Garbage::BreaksBeforeEnd,
+    Garbage::BreaksBeforeMark,
+    Garbage::StopsInMidst,
+    Garbage::BadEvent,
 ];
 
 /// One trouble.
@@ -96,6 +122,8 @@
     ReviveRouter(usize),
     /// These engines are in a zone that is cut off; none: the link is back.
     Cut(Option<String>),
+    /// An engine can't reach another, or can again.
+    CutLink(usize, Option<usize>),
     /// The list takes an engine as draining.
     ListDraining(usize, bool),
 }
@@ -114,6 +142,11 @@
         draw(all, self.part, rng)
     }
 
+    fn named_in_order(&self, day: &Day) -> Vec<usize> {
+        let find = |name: &str| day.engines.iter().position(|e| e.spec.name == name.trim());
+        self.whom.split(',').filter_map(find).collect()
+    }
+
     fn zone(&self, day: &Day, rng: &mut Xoshiro256PlusPlus) -> String {
         if !self.whom.is_empty() {
             return self.whom.clone();
@@ -217,6 +250,19 @@
                     acts.push((until + Duration::from_millis(500), Act::ListDraining(e, false)));
                 }
             }
+            Kind::LinkCut => {
+                if let [from_engine, to, ..] = self.named_in_order(day)[..] {
+                    acts.extend([(from, Act::CutLink(from_engine, Some(to))), (until, Act::CutLink(from_engine, None))]);
+                }
+            }
+            Kind::Deaf => spell(&mut acts, &self.engines(day, rng), Fault::Deaf(true), Fault::Deaf(false)),
+            Kind::ClosesOnUse => {
+                spell(&mut acts, &self.engines(day, rng), Fault::ClosesOnUse(true), Fault::ClosesOnUse(false));
+            }
+            Kind::Garbage => {
+                let kind = GARBAGE[(self.size as usize).min(GARBAGE.len() - 1)];
+                spell(&mut acts, &self.engines(day, rng), Fault::Garbage(Some(kind)), Fault::Garbage(None));
+            }
             // These are in the traffic.
             Kind::Burst | Kind::TenantBurst | Kind::HeavyTail | Kind::RetryAbuse => {}
         }
--- /dev/null
+++ b/crates/day/tests/common/mod.rs
@@ -0,0 +1,92 @@
+//! Small days for tests: a site in INI, requests by hand.
+#![allow(dead_code)]
+
+use slipreel_day::{read_day, Day, Played};
+use slipreel_rulecheck::{Effect, Ending};
+use slipreel_standin::client::{Habit, Plan};
+use std::time::Duration;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const SITE: &str = "
+[class plain]
+aim = 1s
+patience = 4s
+[class order]
+effect = keyed
+window = 30s
+aim = 1s
+patience = 4s
+[class filing]
+effect = unsafe
+aim = 1s
+patience = 4s
+[model plain]
+class = plain
+[model order]
+class = order
+[model filing]
+class = filing
+[limits]
+cold_time = 3s
+";
+
+/// A day of so many readers and writers in one cell, with these troubles and requests.
+pub fn day(readers: usize, writers: usize, extra: &str, plans: Vec<Plan>) -> Day {
+    let fleet = format!(
+        "[engines r]\nrole = read\ncount = {readers}\ncold_time = 3s\n[engines w]\nrole = write\ncount = {writers}\ncold_time = 3s\n"
+    );
+    let text = format!("{SITE}{fleet}[day]\nlength = 1s\nrouters = 1\nnotice = 200ms\nseed = 5\n{extra}");
+    let mut day = read_day(&text, "test").unwrap_or_else(|faults| panic!("{faults:?}"));
+    day.plans = plans;
+    for plan in &mut day.plans {
+        plan.effect = Day::effect_of(&day.site, &plan.model);
+    }
+    day
+}
+
+/// A trouble in INI.
+pub fn trouble(kind: &str, whom: &str, at: u64, lasts: u64, size: f64) -> String {
+    format!("[trouble {kind}-{at}]\nkind = {kind}\nwhom = {whom}\nat = {at}ms\nlasts = {lasts}ms\nsize = {size}\n")
+}
+
+/// A request of a model at a time of the day.
+pub fn plan(request: u64, model: &str, at: u64) -> Plan {
+    Plan {
+        at: ms(at),
+        request,
+        model: model.into(),
+        effect: Effect::Safe,
+        key: "k".into(),
+        session: format!("s{request}"),
+        system: "system ".repeat(40),
+        prompt: "prompt ".repeat(100),
+        length: 20,
+        max_tokens: 40,
+        stream: true,
+        patience: ms(3_000),
+        tries: 1,
+        backoff: ms(50),
+        heeds: true,
+        habit: Habit::Plain,
+    }
+}
+
+pub fn with(plan: Plan, habit: Habit) -> Plan {
+    Plan { habit, ..plan }
+}
+
+/// How the last try of a request ended.
+pub fn ending(played: &Played, request: u64) -> Option<Ending> {
+    played.results.iter().rfind(|r| r.what.request == request).unwrap_or_else(|| panic!("{request} never ended")).ending
+}
+
+/// No rule broke, no answer was wrong, nothing is held.
+pub fn assert_clean(name: &str, played: &Played) {
+    assert!(played.breaks.is_empty(), "{name}: {:?}", played.breaks);
+    let faults: Vec<_> = played.results.iter().filter(|r| r.fault.is_some()).collect();
+    assert!(faults.is_empty(), "{name}: {faults:?}");
+    assert_eq!(played.leaks, 0, "{name}: requests are still held");
+}
--- a/crates/front/src/members.rs
+++ b/crates/front/src/members.rs
@@ -78,7 +78,9 @@
             let (started, told) = match before.get(&id) {
                 Some(m) if m.site.role != site.role => (Some(now), false),
                 Some(m) => (m.started, m.told),
-                None => (None, false),
+                // One that was not there before may have started just now; its own word will tell. The first list of
+                // a router says nothing of that, as all its engines are new to it.
+                None => ((!before.is_empty()).then_some(now), false),
             };
             self.by_id.insert(id, Member { site: site.clone(), started, told });
         }
@@ -107,7 +109,12 @@
         let known = member.started.unwrap_or_default();
         let first = !std::mem::replace(&mut member.told, true);
         let recent = now < started.saturating_add(cold_time);
-        let news = if first { recent } else { started > known + SAME_START && (recent || member.started.is_some()) };
+        let differs = started > known + SAME_START || known > started + SAME_START;
+        let news = if first {
+            recent || member.started.is_some()
+        } else {
+            differs && started > known && (recent || member.started.is_some())
+        };
         if !news {
             return None;
         }
@@ -160,6 +167,20 @@
         assert!(event.is_some(), "another restart, heard of late, still voids what was known");
     }
 
+    #[test]
+    fn one_that_joins_counts_as_cold_until_it_tells() {
+        let s = Duration::from_secs;
+        let mut members = Members::default();
+        members.replace(s(1), &[site(1, Role::Read, EngineState::Ready)]);
+        let (event, _) = members.replace(s(50), &[1, 2].map(|port| site(port, Role::Read, EngineState::Ready)));
+        let started: Vec<_> = entries(event).iter().map(|e| e.started).collect();
+        assert_eq!(started, [None, Some(s(50))]);
+        let id = engine_id(SocketAddr::from(([127, 0, 0, 1], 2)));
+        let event = members.note_start(s(51), id, s(2), COLD).expect("it has been up for long");
+        assert_eq!(entries(event)[0].started, Some(s(2)));
+        assert!(members.note_start(s(52), id, s(2), COLD).is_none());
+    }
+
     #[test]
     fn one_that_drains_or_leaves_or_changes_role_is_named() {
         let mut members = Members::default();
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -375,6 +375,10 @@
         match why {
             // Nobody took the request: for the rules it was never asked.
             Loss::NotConnected | Loss::Exhausted => self.ledger.note(now, Seen::Left(open.what)),
+            // It has said that it sends no more: a router may take that for leaving.
+            Loss::Reset if self.plans[open.plan].habit == Habit::HalfCloses => {
+                self.ledger.note(now, Seen::Left(open.what));
+            }
             Loss::Reset => self.ledger.note(now, Seen::Cut(open.what)),
         }
         open.error.get_or_insert(format!("{why:?}"));
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -44,6 +44,8 @@
     BreaksAfterFirst,
     /// The stream breaks after its last token and before its end mark.
     BreaksBeforeEnd,
+    /// The stream breaks after all of the answer, its reason to end included, and before its end mark.
+    BreaksBeforeMark,
     /// The stream stops in the midst and the connection stays.
     StopsInMidst,
     /// An event of the stream is no JSON.
@@ -60,6 +62,7 @@
         match self {
             Garbage::BreaksAfterFirst | Garbage::StopsInMidst | Garbage::BrokenChunk | Garbage::BadEvent => !begins,
             Garbage::BreaksBeforeEnd => last,
+            Garbage::BreaksBeforeMark => false,
             _ => false,
         }
     }
@@ -82,7 +85,10 @@
             }
             Garbage::BrokenChunk => b"zz;ext=1\r\nnothing\r\n".to_vec(),
             Garbage::BadEvent => b"f\r\ndata: {\"oops\n\n\r\n".to_vec(),
-            Garbage::BreaksAfterFirst | Garbage::BreaksBeforeEnd | Garbage::StopsInMidst => Vec::new(),
+            Garbage::BreaksAfterFirst
+            | Garbage::BreaksBeforeEnd
+            | Garbage::BreaksBeforeMark
+            | Garbage::StopsInMidst => Vec::new(),
         }
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -19,7 +19,7 @@
 use slipreel_protocol::engine::{write_metrics, write_orca, Load, FULL, NO_STATE};
 use slipreel_protocol::http::{self, Decoder, Framing, Head, Item, Limits, Side, Start};
 use slipreel_protocol::sse;
-use slipreel_rulecheck::{Seen, Try};
+use slipreel_rulecheck::{Seen, Stage, Try};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,7 +41,8 @@
     serves: Option<u64>,
     /// Not looked at before then.
     ready_at: Duration,
-    eof: bool,
+    /// A deaf engine has not looked at this.
+    unheard: Option<Try>,
 }
 
 /// A fetch of read state from another engine.
@@ -128,9 +129,26 @@
     fn data(&mut self, now: Duration, id: ConnId, bytes: &[u8], out: &mut Vec<Output>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.decoder.feed(bytes);
+        if self.faults.deaf {
+            // It has arrived all the same, and is out until its connection ends or the engine hears again.
+            let text = String::from_utf8_lossy(bytes);
+            conn.unheard = Mark::find(&text).map(|m| m.what).or(conn.unheard);
+            let via = text.split_once("via: 1.1 ").and_then(|(_, rest)| rest.split("\r\n").next());
+            if let (Some(what), Some(router)) = (conn.unheard, via) {
+                let (engine, router) = (self.spec.name.clone(), router.to_owned());
+                self.note(now, Seen::Arrived { engine, router, what, stage: Stage::Write });
+            }
+        }
         self.pump(now, id, out);
     }
 
+    /// What a deaf engine had not heard is heard now, or is over.
+    fn heard_at_last(&mut self, now: Duration, id: ConnId) {
+        if let Some(what) = self.conns.get_mut(&id).and_then(|c| c.unheard.take()) {
+            self.note(now, Seen::Over { engine: self.spec.name.clone(), what, stage: Stage::Write });
+        }
+    }
+
     /// Takes whole requests off a connection that waits for none.
     fn pump(&mut self, now: Duration, id: ConnId, out: &mut Vec<Output>) {
         loop {
@@ -143,6 +161,7 @@
                 Ok(Some(Item::Body(piece))) => conn.body.extend_from_slice(&piece),
                 Ok(Some(Item::End)) => {
                     let (Some(head), body) = (conn.head.take(), std::mem::take(&mut conn.body)) else { return };
+                    self.heard_at_last(now, id);
                     self.request(now, id, &head, &body, out);
                 }
                 Ok(None) => return,
@@ -176,6 +195,7 @@
 
     /// A connection is over: its job is cancelled, wherever it is; state being served on it stays held.
     fn gone(&mut self, now: Duration, id: ConnId, out: &mut Vec<Output>) {
+        self.heard_at_last(now, id);
         let Some(conn) = self.conns.remove(&id) else { return };
         if let Some(state) = conn.serves {
             if let Some(state) = self.work.states.get_mut(&state) {
@@ -487,7 +507,7 @@
         if let Some(what) = job.what() {
             self.note(now, Seen::Holds { engine: self.spec.name.clone(), what, state });
         }
-        if let Some(garbage) = self.faults.garbage {
+        if let Some(garbage) = self.faults.garbage.filter(|g| g.before_head()) {
             let conn = job.conn;
             self.over(now, &job);
             if let Some(c) = self.conns.get_mut(&conn) {
@@ -550,6 +570,11 @@
             let usage = json!({"id": name, "object": "chat.completion.chunk", "choices": [], "usage": {
                 "prompt_tokens": prompt, "completion_tokens": n + 1, "total_tokens": prompt + u64::from(n) + 1,
                 "prompt_tokens_details": {"cached_tokens": kept}}});
+            if self.faults.garbage == Some(Garbage::BreaksBeforeMark) {
+                bytes.extend_from_slice(&http::chunk(&events));
+                self.write(conn, bytes, out);
+                return self.talk_garbage(now, conn, Garbage::BreaksBeforeMark, out);
+            }
             sse::write("", &usage.to_string(), &mut events);
             sse::write("", "[DONE]", &mut events);
         }
@@ -609,7 +634,7 @@
                     unsent: 0,
                     serves: None,
                     ready_at: now + self.faults.handshake,
-                    eof: false,
+                    unheard: None,
                 };
                 self.conns.insert(id, conn);
             }
@@ -622,9 +647,6 @@
             Input::Data(id, bytes) => self.data(now, id, bytes, out),
             Input::Eof(id) | Input::Lost(id, _) if id.is_opened() => self.fetch_failed(now, id, out),
             Input::Eof(id) => {
-                if let Some(conn) = self.conns.get_mut(&id) {
-                    conn.eof = true;
-                }
                 out.push(Output::Finish(id));
                 self.gone(now, id, out);
             }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -457,6 +457,8 @@
                 let at = self.now + self.delay();
                 self.plan(at, Event::Connecting { link, addr });
             }
+            // A socket knows no empty writes.
+            Output::Write(_, bytes) if bytes.is_empty() => {}
             Output::Write(id, bytes) => {
                 let Some((link, end)) = found(&id) else { return };
                 if let Some(l) = self.links.get_mut(&link) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -603,3 +603,19 @@
     assert!(over.iter().all(|&(tenant, over)| tenant == 0 || !over), "{over:?}");
     assert!(!over[0].1 && over[38].1, "{over:?}");
 }
+
+/// Of two writers one answers garbage. The other, which only found the state gone, is asked again once it is read anew.
+#[test]
+fn a_writer_that_found_no_state_is_not_passed_over() {
+    for seed in 0..20 {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0), engine(3, 1, 0)];
+        let limits = Limits { attempts: 6, ..settings(Effect::Safe).limits };
+        let mut host = Host::new(Settings { limits, ..settings(Effect::Safe) }, seed, engines);
+        assert_eq!(sent_to(&host.ask(request(1, 0))), Some(1));
+        let first = sent_to(&host.end(1, 0, Outcome::Read)).expect("a writer");
+        let second = sent_to(&host.end(1, 1, Outcome::Error)).expect("the other writer");
+        assert_ne!(first, second);
+        assert_eq!(sent_to(&host.end(1, 2, Outcome::Full { no_state: true })), Some(1), "it is read again");
+        assert_eq!(sent_to(&host.end(1, 3, Outcome::Read)), Some(second), "seed {seed}");
+    }
+}
