--- /dev/null
+++ b/crates/protocol/tests/http.rs
@@ -0,0 +1,146 @@
+//! HTTP/1.1 in pieces of any size, and what has to be refused.
+
+use proptest::prelude::*;
+use slipreel_protocol::http::*;
+
+type Read = Result<Vec<Item>, Malformed>;
+
+/// All items of bytes that come in pieces cut at these places; body pieces are joined.
+fn read(side: Side, bytes: &[u8], cuts: &[usize]) -> Read {
+    let mut decoder = Decoder::new(side, Limits { head: 400, fields: 10, body: 1000 });
+    let mut items: Vec<Item> = Vec::new();
+    let mut from = 0;
+    for to in cuts.iter().copied().chain([bytes.len()]) {
+        decoder.feed(&bytes[from..to]);
+        from = to;
+        while let Some(item) = decoder.next_item()? {
+            match (items.last_mut(), item) {
+                (Some(Item::Body(whole)), Item::Body(piece)) => whole.extend_from_slice(&piece),
+                (_, item) => items.push(item),
+            }
+        }
+    }
+    if let Some(item) = decoder.eof()? {
+        items.push(item);
+    }
+    Ok(items)
+}
+
+const REQUESTS: &[u8] = b"POST /v1/messages?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nX: \t y \r\n\r\nhello\
+GET / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n\r\n\
+POST /c HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n00a\r\n0123456789\r\n0\r\nx-t: 1\r\n\r\n\
+POST /d HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+const RESPONSES: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nevent\r\n0\r\n\r\n\
+HTTP/1.1 204 None\r\n\r\nHTTP/1.1 503\r\ncontent-length: 2\r\n\r\n{}HTTP/1.0 200 OK\r\n\r\nuntil the end";
+
+#[test]
+fn messages_are_the_same_cut_at_every_byte() {
+    for (side, bytes) in [(Side::Server, REQUESTS), (Side::Client, RESPONSES)] {
+        let whole = read(side, bytes, &[]).expect("good messages");
+        assert!(whole.iter().filter(|i| **i == Item::End).count() >= 4, "{whole:?}");
+        for cut in 0..=bytes.len() {
+            assert_eq!(read(side, bytes, &[cut]).as_ref(), Ok(&whole), "cut at {cut}");
+        }
+        let every: Vec<usize> = (0..bytes.len()).collect();
+        assert_eq!(read(side, bytes, &every), Ok(whole));
+    }
+}
+
+#[test]
+fn smuggling_shapes_are_refused() {
+    let shapes: &[(&str, u16)] = &[
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 1\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 1, 1\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: +1\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999999999999\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 1001\r\n\r\n", 413),
+        ("GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\n  folded\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost : a\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\nno colon\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\n: empty\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\nx: a\nb: c\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\nx: a\rb\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\n\r\n", 400),
+        ("GET /a b HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        ("GET / HTTP/2.0\r\nhost: a\r\n\r\n", 505),
+        ("GET  / HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        ("G(T / HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip, chunked\r\n\r\n", 501),
+        ("GET / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: xchunked\r\n\r\n", 501),
+        ("GET / HTTP/1.1\r\nhost: a\r\nexpect: else\r\n\r\n", 417),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3;ext=1\r\nabc\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n 3\r\nabc\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n0x3\r\nabc\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\nabc\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabcd\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nffffffff\r\n", 413),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nfffffffff\r\n", 400),
+        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n00000000000000000000000003\r\n", 400),
+    ];
+    for (shape, status) in shapes {
+        let found = read(Side::Server, shape.as_bytes(), &[]);
+        assert_eq!(found.as_ref().map_err(|m| m.status), Err(*status), "{shape:?}: {found:?}");
+    }
+}
+
+#[test]
+fn heads_are_bounded_before_they_end() {
+    let mut decoder = Decoder::new(Side::Server, Limits { head: 400, fields: 10, body: 10 });
+    decoder.feed(b"GET / HTTP/1.1\r\n");
+    decoder.feed(&[b'a'; 400]);
+    assert_eq!(decoder.next_item().map_err(|m| m.status), Err(431));
+    let many = format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "a: b\r\n".repeat(10));
+    assert_eq!(read(Side::Server, many.as_bytes(), &[]).map_err(|m| m.status), Err(431));
+}
+
+#[test]
+fn a_body_cut_off_is_an_error_and_not_an_end() {
+    for cut in ["POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nabc", "POST / HTTP/1.1\r\nhost: a"] {
+        assert!(read(Side::Server, cut.as_bytes(), &[]).is_err());
+    }
+    assert!(read(Side::Client, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", &[]).is_err());
+}
+
+#[test]
+fn what_is_written_can_be_read() {
+    let fields = [("x", "y\r\nevil: 1")];
+    let mut bytes = response_head(529, &fields, Framing::Chunked);
+    bytes.extend(chunk(b"one"));
+    bytes.extend(chunk(b""));
+    bytes.extend_from_slice(LAST_CHUNK);
+    let items = read(Side::Client, &bytes, &[]).expect("what we write");
+    let [Item::Head(head), Item::Body(body), Item::End] = &items[..] else { panic!("{items:?}") };
+    assert_eq!((head.get("x"), head.get("evil"), &body[..]), (Some("yevil: 1"), None, &b"one"[..]));
+}
+
+proptest! {
+    /// Whatever comes, in whatever pieces: no panic, no more items than bytes, and the same as in one piece.
+    #[test]
+    fn any_bytes_in_any_pieces(bytes in prop::collection::vec(
+        prop::sample::select(b"GET / HTP1.\r\n:acontent-length023chunkedtransfer-encoding".to_vec()), 0..200),
+        cuts in prop::collection::vec(0usize..200, 0..6))
+    {
+        let mut cuts: Vec<usize> = cuts.into_iter().filter(|c| *c <= bytes.len()).collect();
+        cuts.sort_unstable();
+        for side in [Side::Server, Side::Client] {
+            let (whole, pieces) = (read(side, &bytes, &[]), read(side, &bytes, &cuts));
+            prop_assert_eq!(whole.is_ok(), pieces.is_ok());
+            if let (Ok(whole), Ok(pieces)) = (whole, pieces) {
+                prop_assert_eq!(whole, pieces);
+            }
+        }
+    }
+
+    /// Good requests with one byte changed are read or refused, never more than there are.
+    #[test]
+    fn one_byte_changed(at in 0usize..REQUESTS.len(), byte in any::<u8>()) {
+        let mut bytes = REQUESTS.to_vec();
+        bytes[at] = byte;
+        if let Ok(items) = read(Side::Server, &bytes, &[]) {
+            prop_assert!(items.iter().filter(|i| matches!(i, Item::Head(_))).count() <= 5);
+        }
+    }
+}
