--- /dev/null
+++ b/crates/day/benches/sockets.rs
@@ -0,0 +1,178 @@
+//! A router between clients and engines that answer at once, over loopback, beside the same clients sent straight to
+//! such an engine. Router, engines and clients each have a thread; machines are shared, so compare within one run.
+
+use hdrhistogram::Histogram;
+use slipreel_day::read_day;
+use slipreel_front::Front;
+use slipreel_machine::{ConnId, Input, Machine, Output};
+use slipreel_net::{Clock, Command, Loop};
+use slipreel_protocol::http::{chunk, Decoder, Item, Limits, Side, Start};
+use slipreel_rulecheck::{Effect, Ending};
+use slipreel_standin::client::{Clients, Habit, Plan};
+use slipreel_standin::ledger::Ledger;
+use slipreel_standin::mark;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const TOKENS: u32 = 4;
+
+/// Answers everything at once: reads, writes, metrics, and whole Messages streams when asked directly.
+#[derive(Default)]
+struct Instantly {
+    conns: HashMap<ConnId, (Decoder, String, Vec<u8>)>,
+}
+
+fn whole(kind: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn answer(target: &str, body: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(body);
+    let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let request = mark::Mark::find(&text).map_or(0, |m| m.what.request);
+    let mut events = String::new();
+    match target {
+        "/metrics" => return whole("text/plain", "vllm:num_requests_running 1\nvllm:num_requests_waiting 0\nprocess_start_time_seconds 1\n"),
+        "/v1/chat/completions" if text.contains("\"do_remote_decode\":true") => {
+            return whole("application/json", r#"{"kv_transfer_params":{"remote_block_ids":[1]},"usage":{"prompt_tokens":9}}"#)
+        }
+        "/v1/chat/completions" => {
+            for n in 0..TOKENS {
+                events += &format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", mark::token(request, n));
+            }
+            events += "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n";
+        }
+        "/v1/messages" => {
+            let event = |name: &str, rest: &str| format!("event: {name}\ndata: {{\"type\":\"{name}\"{rest}}}\n\n");
+            events += &event("message_start", ",\"message\":{}");
+            events += &event("content_block_start", ",\"index\":0,\"content_block\":{}");
+            for n in 0..TOKENS {
+                let delta = format!(",\"index\":0,\"delta\":{{\"type\":\"text_delta\",\"text\":\"{}\"}}", mark::token(request, n));
+                events += &event("content_block_delta", &delta);
+            }
+            events += &event("content_block_stop", ",\"index\":0");
+            events += &event("message_delta", ",\"delta\":{\"stop_reason\":\"max_tokens\"}");
+            events += &event("message_stop", "");
+        }
+        _ => return whole("application/json", "{}"),
+    }
+    let mut bytes = head.to_vec();
+    bytes.extend(chunk(events.as_bytes()));
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+impl Machine for Instantly {
+    fn handle(&mut self, _now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
+        match input {
+            Input::Accepted(conn) => {
+                self.conns.insert(conn, (Decoder::new(Side::Server, Limits::default()), String::new(), Vec::new()));
+            }
+            Input::Data(conn, bytes) => {
+                let Some((decoder, path, body)) = self.conns.get_mut(&conn) else { return };
+                decoder.feed(bytes);
+                while let Ok(Some(item)) = decoder.next_item() {
+                    match item {
+                        Item::Head(head) => {
+                            if let Start::Request { target, .. } = head.start {
+                                *path = target;
+                            }
+                        }
+                        Item::Body(piece) => body.extend(piece),
+                        Item::End => out.push(Output::Write(conn, answer(path, &std::mem::take(body)))),
+                    }
+                }
+            }
+            Input::Eof(conn) => {
+                self.conns.remove(&conn);
+                out.push(Output::Finish(conn));
+            }
+            Input::Lost(conn, _) => {
+                self.conns.remove(&conn);
+            }
+            _ => {}
+        }
+    }
+    fn wake_at(&self) -> Option<Duration> {
+        None
+    }
+}
+
+const SITE: &str = "[class c]\n[model m]\nclass = c\n[day]\nrouters = 1\n[engines r]\nrole = read\n[engines w]\nrole = write\n";
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+struct Run {
+    first: Histogram<u64>,
+    served: usize,
+    asked: usize,
+    took: Duration,
+}
+
+/// Sends at a rate for a time; a rate beyond what can be served shows what can.
+fn load(clock: Clock, target: SocketAddr, rate: f64, seconds: f64) -> Run {
+    let start = clock.now() + Duration::from_millis(100);
+    let n = (rate * seconds) as u64;
+    let plan = |i: u64| Plan {
+        at: start + Duration::from_secs_f64(i as f64 / rate),
+        request: i + 1,
+        model: "m".into(),
+        effect: Effect::Safe,
+        key: String::new(),
+        session: format!("s{i}"),
+        system: "be short ".repeat(20),
+        prompt: "word ".repeat(100),
+        length: TOKENS,
+        max_tokens: TOKENS,
+        stream: true,
+        patience: Duration::from_secs(5),
+        tries: 1,
+        backoff: Duration::ZERO,
+        heeds: true,
+        habit: Habit::Plain,
+    };
+    let mut looped = Loop::new(clock).expect("descriptors");
+    let node = looped.add(Clients::new((0..n).map(plan).collect(), vec![target], Ledger::default(), true));
+    looped.run().expect("a loop");
+    let mut run = Run { first: Histogram::new(3).expect("a histogram"), served: 0, asked: n as usize, took: Duration::ZERO };
+    for r in looped.machine(node).results() {
+        run.took = run.took.max(r.ended.saturating_sub(start));
+        if r.ending == Some(Ending::Served) && r.fault.is_none() {
+            run.served += 1;
+            run.first.saturating_record(r.ended.saturating_sub(r.due).as_micros() as u64);
+        }
+    }
+    run
+}
+
+fn main() {
+    let clock = Clock::start();
+    let mut engines = Loop::new(clock).expect("descriptors");
+    let addrs: Vec<SocketAddr> = (0..2)
+        .map(|_| {
+            let node = engines.add(Instantly::default());
+            engines.listen(node, ANY).expect("a port")
+        })
+        .collect();
+    let day = read_day(SITE, "bench").expect("a site");
+    let mut router = Loop::new(clock).expect("descriptors");
+    let node = router.add(Front::new(Arc::new(day.router_site(0, &addrs)), 5, clock.now(), clock.now()));
+    let front = router.listen(node, ANY).expect("a port");
+    let (engines_handle, router_handle) = (engines.handle(), router.handle());
+    let engines = std::thread::spawn(move || engines.run());
+    let router = std::thread::spawn(move || router.run());
+    println!("whole answer of {TOKENS} tokens, ms from when it was due");
+    println!("{:<22}{:>8}{:>9}{:>9}{:>9}{:>9}", "", "asked", "served", "p50", "p99", "a second");
+    for rate in [500.0, 2_000.0, 5_000.0, 8_000.0] {
+        for (name, target) in [("straight to a stand-in", addrs[0]), ("through the router", front)] {
+            let run = load(clock, target, rate, 4.0);
+            let ms = |q| run.first.value_at_quantile(q) as f64 / 1000.0;
+            let served = run.served as f64 / run.took.as_secs_f64();
+            println!("{name:<22}{:>8}{:>9}{:>9.2}{:>9.2}{served:>9.0}", run.asked, run.served, ms(0.5), ms(0.99));
+        }
+    }
+    engines_handle.tell(Command::End);
+    router_handle.tell(Command::End);
+    let _ = (engines.join(), router.join());
+}
--- /dev/null
+++ b/crates/front/benches/front.rs
@@ -0,0 +1,287 @@
+//! What the front costs on one thread, fed by hand: requests, streamed events, memory of open streams, its timer wheel
+//! against a heap, and the module's part of it. No sockets: the system's part is not in these figures.
+
+use slipreel_front::site::*;
+use slipreel_front::{Front, Site, Wheel};
+use slipreel_machine::{ConnId, Input, Machine, Output};
+use slipreel_protocol::http::chunk;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn site() -> Site {
+    let start = starting_class();
+    let class = slipreel::Class {
+        aim: start.aim,
+        aim_per_1000: start.aim_per_1000,
+        worth: 1.0,
+        effect: slipreel::Effect::Safe,
+        streams: true,
+    };
+    let engine = |port: u16, role| EngineSite {
+        name: format!("e{port}"),
+        addr: ([127, 0, 0, 1], port).into(),
+        role,
+        zone: "a".into(),
+        cell: "a".into(),
+        state: slipreel::EngineState::Ready,
+    };
+    let roles = [slipreel::Role::Read, slipreel::Role::Write];
+    Site {
+        settings: slipreel::Settings { classes: vec![class], ..starting_settings() },
+        classes: vec![ClassSite { name: "chat".into(), patience: start.patience }],
+        models: vec![ModelSite { name: "m".into(), class: 0, served_as: "m".into() }],
+        tenants: Vec::new(),
+        engines: (0..8u16).map(|n| engine(n + 1, roles[usize::from(n) % 2])).collect(),
+        bounds: Bounds { requests: 1 << 20, connections: 1 << 20, per_engine: 1 << 20, ..Bounds::default() },
+        zone: "a".into(),
+        name: "r".into(),
+    }
+}
+
+struct Host {
+    front: Front,
+    now: Duration,
+    out: Vec<Output>,
+    read: Vec<u8>,
+}
+
+fn request() -> Vec<u8> {
+    let body = format!(
+        r#"{{"model":"m","max_tokens":50,"stream":true,"system":"{}","messages":[{{"role":"user","content":"{}"}}]}}"#,
+        "be short ".repeat(60),
+        "hello there ".repeat(50)
+    );
+    format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn metrics() -> Vec<u8> {
+    let text = "vllm:num_requests_running 3\nvllm:num_requests_waiting 0\nvllm:kv_cache_usage_perc 0.2\nprocess_start_time_seconds 1\n";
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}", text.len()).into_bytes()
+}
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+fn token() -> Vec<u8> {
+    chunk(b"data: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n")
+}
+
+fn last() -> Vec<u8> {
+    let mut bytes = chunk(b"data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":5}}\n\ndata: [DONE]\n\n");
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+impl Host {
+    fn new() -> Self {
+        let now = Duration::from_secs(1 << 20);
+        let body = r#"{"kv_transfer_params":{"do_remote_prefill":true,"remote_block_ids":[7]},"usage":{"prompt_tokens":300}}"#;
+        let load = "TEXT named_metrics.num_requests_running=3, named_metrics.num_requests_waiting=0, named_metrics.kv_cache_usage_perc=0.2";
+        let read = format!("HTTP/1.1 200 OK\r\nendpoint-load-metrics: {load}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        Host { front: Front::new(Arc::new(site()), 5, now, now), now, out: Vec::new(), read: read.into_bytes() }
+    }
+
+    fn tell(&mut self, input: Input<'_>) {
+        self.front.handle(self.now, input, &mut self.out);
+    }
+
+    /// Asks and plays the engines until the answer has begun; gives the writer's connection.
+    fn begin(&mut self, client: ConnId, request: &[u8], metrics: &[u8]) -> ConnId {
+        self.tell(Input::Data(client, request));
+        for _ in 0..100 {
+            let mut writer = None;
+            for output in std::mem::take(&mut self.out) {
+                match output {
+                    Output::Connect(conn, _) => self.tell(Input::Connected(conn)),
+                    Output::Write(conn, bytes) if conn.is_opened() => {
+                        if bytes.starts_with(b"GET /metrics") {
+                            self.tell(Input::Data(conn, metrics));
+                        } else if bytes.windows(24).any(|w| w == b"\"do_remote_decode\":true,") {
+                            let read = std::mem::take(&mut self.read);
+                            self.tell(Input::Data(conn, &read));
+                            self.read = read;
+                        } else if bytes.starts_with(b"POST /v1/chat") {
+                            writer = Some(conn);
+                        }
+                    }
+                    Output::Write(conn, bytes) => self.tell(Input::Sent(conn, bytes.len())),
+                    _ => {}
+                }
+            }
+            if let Some(writer) = writer {
+                self.tell(Input::Data(writer, HEAD));
+                return writer;
+            }
+        }
+        panic!("the answer did not begin: {:?}", self.front.tally())
+    }
+
+    fn drain(&mut self) {
+        for output in std::mem::take(&mut self.out) {
+            if let Output::Write(conn, bytes) = output {
+                self.tell(Input::Sent(conn, bytes.len()));
+            }
+        }
+    }
+}
+
+fn requests_a_second() {
+    let (request, metrics, token, last) = (request(), metrics(), token(), last());
+    let mut host = Host::new();
+    host.tell(Input::Accepted(ConnId(1)));
+    const N: u32 = 20_000;
+    let began = Instant::now();
+    for _ in 0..N {
+        host.now += Duration::from_micros(200);
+        host.tell(Input::Wake);
+        let writer = host.begin(ConnId(1), &request, &metrics);
+        (0..4).for_each(|_| host.tell(Input::Data(writer, &token)));
+        host.tell(Input::Data(writer, &last));
+        host.drain();
+    }
+    let each = began.elapsed() / N;
+    println!("a request with read, write and 4 events: {:.1} us, {:.0} a second; served {}", each.as_secs_f64() * 1e6, 1.0 / each.as_secs_f64(), host.front.tally().served);
+}
+
+fn events_a_second() {
+    let (request, metrics, token) = (request(), metrics(), token());
+    let mut host = Host::new();
+    let writers: Vec<ConnId> = (1..=100)
+        .map(|n| {
+            host.tell(Input::Accepted(ConnId(n)));
+            host.begin(ConnId(n), &request, &metrics)
+        })
+        .collect();
+    const N: usize = 1_000_000;
+    let began = Instant::now();
+    for n in 0..N {
+        host.tell(Input::Data(writers[n % writers.len()], &token));
+        if n % 100 == 99 {
+            host.now += Duration::from_micros(500);
+            host.drain();
+        }
+    }
+    println!("streamed events, one a read: {:.0} a second", N as f64 / began.elapsed().as_secs_f64());
+}
+
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|n| n.parse::<usize>().ok()).unwrap_or(0) * 4096
+}
+
+fn memory_of_streams() {
+    let (request, metrics, token) = (request(), metrics(), token());
+    let mut host = Host::new();
+    const N: u64 = 10_000;
+    let before = resident();
+    for n in 1..=N {
+        host.tell(Input::Accepted(ConnId(n)));
+        let writer = host.begin(ConnId(n), &request, &metrics);
+        host.tell(Input::Data(writer, &token));
+        host.drain();
+    }
+    let each = (resident() - before) as f64 / N as f64;
+    println!("memory of an open stream, {N} open, prompt of {} bytes: {:.1} KiB", request.len(), each / 1024.0);
+}
+
+fn module_alone() {
+    use slipreel::*;
+    let site = site();
+    let mut router = Router::new(site.settings.clone(), 5);
+    let (mut now, mut out) = (Duration::from_secs(1 << 20), Vec::new());
+    let entry = |e: &EngineSite| Engine {
+        id: slipreel_front::engine_id(e.addr),
+        kind: KindId(KINDS.iter().position(|k| *k == e.role).unwrap_or(0)),
+        ..Engine::default()
+    };
+    let engines = site.engines.iter().map(entry).collect();
+    router.handle(now, Event::Engines { listing: Listing::Complete, engines }, &mut out);
+    const N: u64 = 20_000;
+    let report = LoadReport { queued: Some(0.0), memory_share: Some(0.2), ..LoadReport::default() };
+    let began = Instant::now();
+    for n in 0..N {
+        now += Duration::from_micros(200);
+        let request = Request {
+            id: RequestId(n),
+            session: n,
+            prompt_tokens: 300.0,
+            max_output_tokens: 50.0,
+            time_left: Duration::from_secs(6),
+            ..Request::default()
+        };
+        router.handle(now, Event::Request(request), &mut out);
+        let mut attempt = 0;
+        while let Some(action) = out.pop() {
+            match action {
+                Action::Probe(engine) => router.handle(now, Event::Probed { engine, outcome: Outcome::Ok, report }, &mut out),
+                Action::SetTimer { timer, after } if after < Duration::from_secs(1) => {
+                    router.handle(now, Event::Timer(timer), &mut out);
+                }
+                Action::Send { request, .. } => {
+                    let outcome = if attempt == 0 { Outcome::Read } else { Outcome::Ok };
+                    let latency = Duration::from_millis(20);
+                    if attempt > 0 {
+                        router.handle(now, Event::FirstToken { request, attempt, latency }, &mut out);
+                    }
+                    let ended =
+                        Ended { request, attempt, outcome, latency, finished: attempt > 0, kept_tokens: 0.0, report };
+                    attempt += 1;
+                    router.handle(now, Event::Ended(ended), &mut out);
+                }
+                _ => {}
+            }
+        }
+    }
+    println!("of that the module's decisions: {:.1} us a request with 8 engines", began.elapsed().as_secs_f64() * 1e6 / N as f64);
+}
+
+/// A million settings with half of them cancelled, as connections do, and the rest fired.
+fn wheel_against_heap() {
+    const N: u64 = 1_000_000;
+    let draw = |x: &mut u64| {
+        *x = x.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(1);
+        (*x >> 33) % 10_000
+    };
+    let (mut x, began) = (7, Instant::now());
+    let mut wheel = Wheel::default();
+    let mut last = None;
+    let mut fired = 0u64;
+    for n in 0..N {
+        let now = Duration::from_micros(n * 10);
+        let key = wheel.set(now + Duration::from_millis(draw(&mut x)), n);
+        if let Some(key) = last.replace(key).filter(|_| n % 2 == 0) {
+            wheel.cancel(key);
+        }
+        while wheel.pop(now).is_some() {
+            fired += 1;
+        }
+    }
+    let wheel_time = began.elapsed();
+    let (mut x, began) = (7, Instant::now());
+    let (mut heap, mut cancelled) = (BinaryHeap::new(), std::collections::HashSet::new());
+    let mut fired_heap = 0u64;
+    for n in 0..N {
+        let now = n * 10;
+        heap.push(Reverse((now + draw(&mut x) * 1000, n)));
+        if n % 2 == 0 && n > 0 {
+            cancelled.insert(n - 1);
+        }
+        while heap.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            if let Some(Reverse((_, n))) = heap.pop() {
+                fired_heap += u64::from(!cancelled.remove(&n));
+            }
+        }
+    }
+    let heap_time = began.elapsed();
+    let ns = |t: Duration| t.as_nanos() as f64 / N as f64;
+    println!("a timer set, half of them cancelled: wheel {:.0} ns, heap with a set {:.0} ns (fired {fired}, {fired_heap})", ns(wheel_time), ns(heap_time));
+}
+
+fn main() {
+    requests_a_second();
+    module_alone();
+    events_a_second();
+    memory_of_streams();
+    wheel_against_heap();
+}
--- /dev/null
+++ b/crates/front/tests/connections.rs
@@ -0,0 +1,276 @@
+//! The front fed by hand: what it does with connections when nothing else is there.
+
+use slipreel_front::site::*;
+use slipreel_front::{Front, Site};
+use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use std::sync::Arc;
+use std::time::Duration;
+
+const CLIENT: ConnId = ConnId(1);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn site() -> Site {
+    let start = starting_class();
+    let class = slipreel::Class {
+        aim: start.aim,
+        aim_per_1000: start.aim_per_1000,
+        worth: 1.0,
+        effect: slipreel::Effect::Safe,
+        streams: true,
+    };
+    let engine = |port: u16, role| EngineSite {
+        name: format!("e{port}"),
+        addr: ([127, 0, 0, 1], port).into(),
+        role,
+        zone: "a".into(),
+        cell: "a".into(),
+        state: slipreel::EngineState::Ready,
+    };
+    Site {
+        settings: slipreel::Settings { classes: vec![class], ..starting_settings() },
+        classes: vec![ClassSite { name: "chat".into(), patience: start.patience }],
+        models: vec![ModelSite { name: "m".into(), class: 0, served_as: "engine-m".into() }],
+        tenants: Vec::new(),
+        engines: vec![engine(1, slipreel::Role::Read), engine(2, slipreel::Role::Write)],
+        bounds: Bounds { requests: 3, body: 10_000, unsent: 2_000, ..Bounds::default() },
+        zone: "a".into(),
+        name: "r".into(),
+    }
+}
+
+struct Host {
+    front: Front,
+    now: Duration,
+    out: Vec<Output>,
+}
+
+impl Host {
+    fn new(site: Site) -> Self {
+        let now = Duration::from_secs(1000);
+        Host { front: Front::new(Arc::new(site), 5, now, now), now, out: Vec::new() }
+    }
+
+    fn tell(&mut self, input: Input<'_>) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.front.handle(self.now, input, &mut out);
+        self.out.extend(out.iter().cloned());
+        out
+    }
+
+    /// Lets time pass, waking the front when it asks for it.
+    fn pass(&mut self, time: Duration) -> Vec<Output> {
+        let (end, mut out) = (self.now + time, Vec::new());
+        while let Some(at) = self.front.wake_at().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            out.extend(self.tell(Input::Wake));
+        }
+        self.now = end;
+        out
+    }
+
+    fn ask(&mut self, bytes: &str) -> String {
+        self.tell(Input::Accepted(CLIENT));
+        let out = self.tell(Input::Data(CLIENT, bytes.as_bytes()));
+        text(&out, CLIENT)
+    }
+}
+
+fn text(out: &[Output], conn: ConnId) -> String {
+    let written = out.iter().filter_map(|o| match o {
+        Output::Write(c, bytes) if *c == conn => Some(String::from_utf8_lossy(bytes).into_owned()),
+        _ => None,
+    });
+    written.collect()
+}
+
+fn post(body: &str) -> String {
+    format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+const BODY: &str = r#"{"model":"m","max_tokens":5,"stream":true,"messages":[{"role":"user","content":"hello"}]}"#;
+
+/// The connections opened, in order.
+fn connects(out: &[Output]) -> Vec<(ConnId, u16)> {
+    out.iter().filter_map(|o| if let Output::Connect(c, a) = o { Some((*c, a.port())) } else { None }).collect()
+}
+
+#[test]
+fn paths_and_methods_that_are_not_there() {
+    for (request, status) in [
+        ("GET /nope HTTP/1.1\r\nhost: a\r\n\r\n", "404"),
+        ("GET /v1/messages HTTP/1.1\r\nhost: a\r\n\r\n", "405"),
+        ("GET /v1/models/x HTTP/1.1\r\nhost: a\r\n\r\n", "404"),
+        ("GET /v1/models HTTP/1.1\r\nhost: a\r\n\r\n", "200"),
+        ("GET /health HTTP/1.1\r\nhost: a\r\n\r\n", "200"),
+        ("BAD\r\n\r\n", "400"),
+        ("GET / HTTP/3.0\r\nhost: a\r\n\r\n", "505"),
+    ] {
+        let answer = Host::new(site()).ask(request);
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{request:?}: {answer}");
+    }
+}
+
+#[test]
+fn a_body_that_is_too_large_is_refused_before_it_comes() {
+    let mut host = Host::new(site());
+    let answer = host.ask("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: 104857600\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 413 ") && answer.contains("request_too_large"), "{answer}");
+    assert!(host.out.contains(&Output::Finish(CLIENT)));
+}
+
+#[test]
+fn a_client_that_expects_continue_gets_it_once() {
+    let mut host = Host::new(site());
+    let head = format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: {}\r\n\r\n", BODY.len());
+    assert_eq!(host.ask(&head), "HTTP/1.1 100 Continue\r\n\r\n");
+    let out = host.tell(Input::Data(CLIENT, BODY.as_bytes()));
+    assert!(!connects(&out).is_empty(), "{out:?}");
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order_and_bounded() {
+    let mut host = Host::new(site());
+    let two = "GET /health HTTP/1.1\r\nhost: a\r\n\r\nGET /nope HTTP/1.1\r\nhost: a\r\n\r\n";
+    let answer = host.ask(two);
+    assert!(answer.find("200 OK") < answer.find("404 Not Found"), "{answer}");
+    host.tell(Input::Data(CLIENT, post(BODY).as_bytes()));
+    let flood = "GET /health HTTP/1.1\r\nhost: a\r\n\r\n".repeat(4000);
+    assert!(host.tell(Input::Data(CLIENT, flood.as_bytes())).contains(&Output::Pause(CLIENT)));
+}
+
+#[test]
+fn slow_heads_and_idle_connections_end() {
+    let mut host = Host::new(site());
+    host.ask("GET /health HT");
+    let out = host.pass(Bounds::default().receive + ms(5));
+    assert!(text(&out, CLIENT).starts_with("HTTP/1.1 408 ") && out.contains(&Output::Finish(CLIENT)), "{out:?}");
+    let mut host = Host::new(site());
+    host.tell(Input::Accepted(CLIENT));
+    assert!(host.pass(Bounds::default().client_idle - ms(5)).is_empty());
+    assert!(host.pass(ms(10)).contains(&Output::Finish(CLIENT)));
+    assert_eq!(host.front.holds().0, 0);
+}
+
+#[test]
+fn requests_over_the_bound_are_turned_away_with_a_time() {
+    let mut host = Host::new(site());
+    for n in 1..=4 {
+        host.tell(Input::Accepted(ConnId(n)));
+        let out = host.tell(Input::Data(ConnId(n), post(BODY).as_bytes()));
+        let answer = text(&out, ConnId(n));
+        let over = answer.starts_with("HTTP/1.1 529 ") && answer.contains("retry-after: 1\r\n") && answer.contains("x-should-retry: true");
+        assert_eq!(over, n == 4, "{n}: {answer}");
+    }
+}
+
+#[test]
+fn no_descriptors_means_that_nothing_was_sent() {
+    let mut host = Host::new(site());
+    host.ask(&post(BODY));
+    let mut answer = String::new();
+    for _ in 0..40 {
+        let out = std::mem::take(&mut host.out);
+        for (conn, _) in connects(&out) {
+            host.tell(Input::Lost(conn, Loss::Exhausted));
+        }
+        host.pass(ms(50));
+        answer.push_str(&text(&host.out, CLIENT));
+    }
+    assert!(answer.starts_with("HTTP/1.1 529 ") || answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert_eq!(host.front.holds().2, 0);
+    assert!(!host.out.iter().any(|o| matches!(o, Output::Log(l) if l.contains("ejected"))), "no engine is to blame");
+}
+
+/// Plays reader and writer up to the first token; gives the writer's connection.
+fn up_to_the_stream(host: &mut Host) -> ConnId {
+    host.ask(&post(BODY));
+    let read = r#"{"kv_transfer_params":{"x":1},"usage":{"prompt_tokens":9}}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{read}", read.len());
+    let (reader, _) = connects(&host.out)[0];
+    host.tell(Input::Connected(reader));
+    let out = host.tell(Input::Data(reader, answer.as_bytes()));
+    let (writer, port) = connects(&out)[0];
+    assert_eq!(port, 2);
+    let out = host.tell(Input::Connected(writer));
+    assert!(text(&out, writer).contains("\"kv_transfer_params\":{\"x\":1}"));
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    host.tell(Input::Data(writer, head.as_bytes()));
+    writer
+}
+
+fn token(words: usize) -> Vec<u8> {
+    let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", "word ".repeat(words));
+    slipreel_protocol::http::chunk(event.as_bytes())
+}
+
+#[test]
+fn a_client_that_takes_nothing_holds_its_writer_back_and_is_cut() {
+    let mut host = Host::new(site());
+    let writer = up_to_the_stream(&mut host);
+    let mut paused = false;
+    for _ in 0..20 {
+        paused |= host.tell(Input::Data(writer, &token(50))).contains(&Output::Pause(writer));
+        if paused {
+            break;
+        }
+    }
+    assert!(paused, "back-pressure reaches the engine");
+    let written: usize = host.out.iter().map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
+    assert!(written < 4_000, "{written} bytes wait");
+    let out = host.tell(Input::Sent(CLIENT, written));
+    assert!(out.contains(&Output::Resume(writer)), "{out:?}");
+    while !host.tell(Input::Data(writer, &token(50))).contains(&Output::Pause(writer)) {}
+    let out = host.pass(Bounds::default().stalled_peer + ms(10));
+    assert!(out.contains(&Output::Abort(CLIENT)) && out.contains(&Output::Abort(writer)), "{out:?}");
+    assert_eq!(host.front.holds().2, 0);
+}
+
+#[test]
+fn a_stream_that_breaks_ends_with_an_error_event() {
+    let mut host = Host::new(site());
+    let writer = up_to_the_stream(&mut host);
+    host.tell(Input::Data(writer, &token(1)));
+    let out = host.tell(Input::Lost(writer, Loss::Reset));
+    let end = text(&out, CLIENT);
+    assert!(end.contains("event: error\n") && end.ends_with("0\r\n\r\n") && !end.contains("message_stop"), "{end}");
+}
+
+#[test]
+fn a_stop_ends_what_runs_and_takes_nothing_new() {
+    let mut host = Host::new(site());
+    let writer = up_to_the_stream(&mut host);
+    host.tell(Input::Data(writer, &token(1)));
+    host.tell(Input::Accepted(ConnId(2)));
+    let out = host.tell(Input::Stop);
+    assert!(out.contains(&Output::Finish(ConnId(2))) && !out.contains(&Output::Stopped));
+    assert!(host.tell(Input::Accepted(ConnId(3))).contains(&Output::Abort(ConnId(3))));
+    let end = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+    let mut bytes = slipreel_protocol::http::chunk(end.as_bytes());
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    let out = host.tell(Input::Data(writer, &bytes));
+    assert!(text(&out, CLIENT).contains("message_stop") && out.contains(&Output::Stopped), "{out:?}");
+}
+
+#[test]
+fn a_stop_gives_up_in_the_end() {
+    let mut host = Host::new(site());
+    let writer = up_to_the_stream(&mut host);
+    host.tell(Input::Data(writer, &token(1)));
+    host.tell(Input::Stop);
+    let mut out = Vec::new();
+    for _ in 0..40 {
+        out.extend(host.pass(ms(1_000)));
+        if out.contains(&Output::Stopped) {
+            break;
+        }
+        // The engine is alive and slow: it says a word each second.
+        host.tell(Input::Data(writer, &token(1)));
+        let unsent: usize = host.out.drain(..).map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
+        host.tell(Input::Sent(CLIENT, unsent));
+    }
+    assert!(text(&out, CLIENT).contains("event: error"), "{out:?}");
+    assert!(out.contains(&Output::Stopped));
+}
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,87 @@
+//! Settings: the sample is good, and every fault is named at once with its place and what was expected.
+
+use slipreel_settings::{engines_from_slices, parse};
+
+const SAMPLE: &str = include_str!("../../../deploy/slipreel.ini");
+
+fn faults(text: &str) -> Vec<String> {
+    parse(text, "f.ini").expect_err("faults").iter().map(ToString::to_string).collect()
+}
+
+/// The sample with one line changed gives this fault at that line.
+fn changed(from: &str, to: &str) -> Vec<String> {
+    assert!(SAMPLE.contains(from), "{from}");
+    faults(&SAMPLE.replacen(from, to, 1))
+}
+
+fn line_of(text: &str) -> usize {
+    SAMPLE.lines().position(|l| l.contains(text)).expect("a line of the sample") + 1
+}
+
+#[test]
+fn the_sample_is_good() {
+    let daemon = parse(SAMPLE, "f.ini").unwrap_or_else(|f| panic!("{f:?}"));
+    assert_eq!((daemon.site.engines.len(), daemon.site.classes.len(), daemon.threads), (4, 2, 1));
+    assert_eq!(daemon.site.tenants[0].keys, ["change-me-1", "change-me-2"]);
+    assert_eq!(daemon.site.models[0].served_as, "caption-1-fp8");
+}
+
+#[test]
+fn each_fault_names_place_value_and_what_was_expected() {
+    let at = line_of("aim = 1200ms");
+    let expected = format!("f.ini:{at}: [class caption] aim: \"fast\": expected a time such as 250ms, 2s, 1.5s, 10m or 1h");
+    assert_eq!(changed("aim = 1200ms", "aim = fast"), [expected]);
+    let one = |from, to, part: &str| {
+        let found = changed(from, to);
+        assert!(found.len() == 1 && found[0].contains(part), "{to}: {found:?}");
+    };
+    one("listen = 127.0.0.1:8080", "listen = 0.0.0.0:8080", "[router] listen: \"0.0.0.0:8080\": expected a loopback address");
+    one("address = 127.0.0.1:9001", "address = 10.0.0.1:9001", "expected a loopback address");
+    one("address = 127.0.0.1:9002", "address = 127.0.0.1:9001", "[engine reader-1] has this address already");
+    one("effect = keyed", "effect = maybe", "\"maybe\": expected safe, keyed or unsafe");
+    one("class = order", "class = orders", "\"orders\": expected the name of a [class] section");
+    one("role = read", "role = reader", "\"reader\": expected read, write or both");
+    one("keys = change-me-3", "keys = change-me-1", "a key that [tenant sports] has too");
+    one("threads = 1", "threads = 3", "[router] routers: 1: expected at least as many as threads, 3");
+    one("cold_share = 0.3", "cold_share = 1.5", "expected a share from 0 to 1");
+    one("attempts = 6", "atempts = 6", "[limits] atempts: no such key here");
+    one("[limits]", "[limit]", "[limit] no such section, perhaps limits");
+    one("patience = 6s", "patience = 1s", "expected more than the aim");
+    one("level = info", "level = loud", "expected trace, debug, info, warn or error");
+    one("body = 32MiB", "body = 32MB", "expected a size such as 512, 64KiB or 32MiB");
+}
+
+#[test]
+fn all_faults_come_at_once_in_order() {
+    let text = SAMPLE.replace("aim = 2s", "aim = soon").replace("role = write", "role = x").replace("stop = 30s", "stop = -1s");
+    let found = faults(&text);
+    assert_eq!(found.len(), 5, "{found:?}");
+    let lines: Vec<usize> = found.iter().map(|f| f.split(':').nth(1).and_then(|n| n.parse().ok()).expect("a line")).collect();
+    assert!(lines.windows(2).all(|w| w[0] <= w[1]), "{lines:?}");
+}
+
+#[test]
+fn an_empty_file_says_what_is_missing() {
+    let found = faults("").join("\n");
+    for part in ["[router]", "[engine NAME]", "[class NAME]", "[model NAME]"] {
+        assert!(found.contains(part), "{found}");
+    }
+}
+
+#[test]
+fn a_list_of_engines_is_checked() {
+    let slice = |address: &str, role: &str, conditions: &str| {
+        format!(
+            r#"{{"kind":"EndpointSlice","metadata":{{"labels":{{"slipreel.dev/role":"{role}"}}}},"ports":[{{"port":1}}],
+            "endpoints":[{{"addresses":["{address}"],"zone":"z","conditions":{conditions}}}]}}"#
+        )
+    };
+    let good = engines_from_slices(&slice("127.0.0.1", "read", "{}")).expect("a list");
+    assert_eq!((good[0].zone.as_str(), good[0].state), ("z", slipreel::EngineState::Ready));
+    let draining = slice("127.0.0.1", "read", r#"{"ready":false,"serving":true,"terminating":true}"#);
+    assert_eq!(engines_from_slices(&draining).expect("a list")[0].state, slipreel::EngineState::Draining);
+    let gone = slice("127.0.0.1", "read", r#"{"ready":false,"serving":false}"#);
+    assert_eq!(engines_from_slices(&gone).expect("a list"), []);
+    assert!(engines_from_slices(&slice("10.0.0.1", "read", "{}")).expect_err("far").contains("loopback"));
+    assert!(engines_from_slices(&slice("127.0.0.1", "reads", "{}")).expect_err("role").contains("read, write or both"));
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -576,9 +576,8 @@
         let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
-        // One that found no state as an earlier writer may have taken it is not at fault: read again, it may write.
-        let taken = job.may_have_run.is_some_and(|(first, ..)| first != ended.attempt);
-        let blameless = taken && outcome == Outcome::Full { no_state: true };
+        // One that found no state to fetch is not at fault: with the state read again it is as good as any.
+        let blameless = outcome == Outcome::Full { no_state: true };
         (a.out, a.done) = (false, blameless || a.read && matches!(outcome, Outcome::Read | Outcome::Reset));
         let Attempt { engine, sent, begun, read, tokens, .. } = *a;
         let prompt = job.request.prompt_tokens;
