--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -46,7 +46,8 @@
     };
     let mut day = read_day(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))?;
     if let Some(seed) = args.seed {
-        let text = text.lines().map(|l| if l.starts_with("seed") { format!("seed = {seed}") } else { l.into() });
+        let text =
+            text.lines().map(|l| if l.starts_with("seed") { format!("seed = {seed}") } else { l.into() });
         let text = text.collect::<Vec<String>>().join("\n");
         day = read_day(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))?;
         day.seed = seed;
@@ -90,7 +91,12 @@
 
 fn show(played: &Played, verbose: bool, took: Duration) {
     print!("{}", played.report());
-    println!("played {:.1} s in {:.1} s; requests still held by routers: {}", played.took.as_secs_f64(), took.as_secs_f64(), played.leaks);
+    println!(
+        "played {:.1} s in {:.1} s; requests still held by routers: {}",
+        played.took.as_secs_f64(),
+        took.as_secs_f64(),
+        played.leaks
+    );
     if verbose {
         played.breaks.iter().for_each(|b| println!("{:?} {}: {}", b.at, b.rule, b.what));
         played.log.iter().for_each(|line| println!("{line}"));
@@ -115,7 +121,9 @@
     let shows = std::io::stderr().is_terminal();
     let thread = std::thread::spawn(move || {
         let began = Instant::now();
-        while let Err(std::sync::mpsc::RecvTimeoutError::Timeout) = stopped.recv_timeout(Duration::from_millis(200)) {
+        while let Err(std::sync::mpsc::RecvTimeoutError::Timeout) =
+            stopped.recv_timeout(Duration::from_millis(200))
+        {
             if shows {
                 eprint!("\r{:5.1} of {} s ", began.elapsed().as_secs_f64(), length.as_secs());
                 let _ = std::io::stderr().flush();
@@ -138,7 +146,8 @@
             println!("engine {} {:?} {} {} {addr}", plan.spec.name, plan.spec.role, plan.zone, plan.cell);
         }
     }
-    let ready = serde_json::json!({"url": format!("http://{}", fleet.targets[0]), "key": key, "models": models});
+    let ready =
+        serde_json::json!({"url": format!("http://{}", fleet.targets[0]), "key": key, "models": models});
     println!("ready {ready}");
     let _ = std::io::stdout().flush();
     while !signals.stopped() {
--- a/crates/cli/src/engine.rs
+++ b/crates/cli/src/engine.rs
@@ -65,5 +65,8 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     handle.tell(Command::Stop(NodeId(0)));
-    thread.join().map_err(|_| Failure::Run("the engine's thread ended by a panic".into()))?.map_err(Failure::Run)
+    thread
+        .join()
+        .map_err(|_| Failure::Run("the engine's thread ended by a panic".into()))?
+        .map_err(Failure::Run)
 }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -56,7 +56,9 @@
 pub(crate) fn run(args: &Args) -> Outcome {
     check_loopback(args.target).map_err(|e| Failure::Input(format!("--target {e}")))?;
     if !(args.rate > 0.0 && args.seconds > 0.0 && args.rate * args.seconds <= MOST) {
-        return Err(Failure::Input(format!("--rate and --seconds: expected more than 0, and {MOST} requests at most")));
+        return Err(Failure::Input(format!(
+            "--rate and --seconds: expected more than 0, and {MOST} requests at most"
+        )));
     }
     let clock = Clock::start();
     let start = clock.now() + Duration::from_millis(100);
@@ -90,7 +92,8 @@
     let node = looped.add(Clients::new(plans, vec![args.target], Ledger::default(), true));
     looped.run().map_err(|e| Failure::Run(e.to_string()))?;
     let clients = looped.machine(node);
-    let new = || Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).map_err(|e| Failure::Run(e.to_string()));
+    let new =
+        || Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).map_err(|e| Failure::Run(e.to_string()));
     let (mut first, mut whole) = (new()?, new()?);
     let (mut served, mut refused, mut failed, mut left, mut wrong) = (0, 0, 0, 0, 0);
     for r in clients.results() {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -49,7 +49,8 @@
         let text = std::fs::read_to_string(&watched.file);
         let text = text.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
         let engines = engines_from_slices(&text);
-        daemon.site.engines = engines.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
+        daemon.site.engines =
+            engines.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
         watched.last = text;
     }
     let (handles, threads) = start(&daemon)?;
@@ -123,7 +124,8 @@
             return;
         }
     };
-    if (new.listen, new.threads) != (daemon.listen, daemon.threads) || new.engines_file != daemon.engines_file {
+    if (new.listen, new.threads) != (daemon.listen, daemon.threads) || new.engines_file != daemon.engines_file
+    {
         tracing::warn!("listen, threads and engines of [router] change with a restart only");
     }
     if new.engines_file.is_some() {
--- a/crates/cli/src/signals.rs
+++ b/crates/cli/src/signals.rs
@@ -14,7 +14,8 @@
     pub(crate) fn watch() -> Result<Signals, Failure> {
         let signals = Signals { stop: Arc::default(), reload: Arc::default() };
         let register = |signal, flag: &Arc<AtomicBool>| {
-            signal_hook::flag::register(signal, flag.clone()).map_err(|e| Failure::Run(format!("signal {signal}: {e}")))
+            signal_hook::flag::register(signal, flag.clone())
+                .map_err(|e| Failure::Run(format!("signal {signal}: {e}")))
         };
         register(signal_hook::consts::SIGINT, &signals.stop)?;
         register(signal_hook::consts::SIGTERM, &signals.stop)?;
--- a/crates/day/benches/sockets.rs
+++ b/crates/day/benches/sockets.rs
@@ -25,7 +25,8 @@
 }
 
 fn whole(kind: &str, body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 fn answer(target: &str, body: &[u8]) -> Vec<u8> {
@@ -34,22 +35,37 @@
     let request = mark::Mark::find(&text).map_or(0, |m| m.what.request);
     let mut events = String::new();
     match target {
-        "/metrics" => return whole("text/plain", "vllm:num_requests_running 1\nvllm:num_requests_waiting 0\nprocess_start_time_seconds 1\n"),
+        "/metrics" => {
+            return whole(
+                "text/plain",
+                "vllm:num_requests_running 1\nvllm:num_requests_waiting 0\nprocess_start_time_seconds 1\n",
+            )
+        }
         "/v1/chat/completions" if text.contains("\"do_remote_decode\":true") => {
-            return whole("application/json", r#"{"kv_transfer_params":{"remote_block_ids":[1]},"usage":{"prompt_tokens":9}}"#)
+            return whole(
+                "application/json",
+                r#"{"kv_transfer_params":{"remote_block_ids":[1]},"usage":{"prompt_tokens":9}}"#,
+            )
         }
         "/v1/chat/completions" => {
             for n in 0..TOKENS {
-                events += &format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", mark::token(request, n));
+                events += &format!(
+                    "data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n",
+                    mark::token(request, n)
+                );
             }
             events += "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n";
         }
         "/v1/messages" => {
-            let event = |name: &str, rest: &str| format!("event: {name}\ndata: {{\"type\":\"{name}\"{rest}}}\n\n");
+            let event =
+                |name: &str, rest: &str| format!("event: {name}\ndata: {{\"type\":\"{name}\"{rest}}}\n\n");
             events += &event("message_start", ",\"message\":{}");
             events += &event("content_block_start", ",\"index\":0,\"content_block\":{}");
             for n in 0..TOKENS {
-                let delta = format!(",\"index\":0,\"delta\":{{\"type\":\"text_delta\",\"text\":\"{}\"}}", mark::token(request, n));
+                let delta = format!(
+                    ",\"index\":0,\"delta\":{{\"type\":\"text_delta\",\"text\":\"{}\"}}",
+                    mark::token(request, n)
+                );
                 events += &event("content_block_delta", &delta);
             }
             events += &event("content_block_stop", ",\"index\":0");
@@ -68,7 +84,8 @@
     fn handle(&mut self, _now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
             Input::Accepted(conn) => {
-                self.conns.insert(conn, (Decoder::new(Side::Server, Limits::default()), String::new(), Vec::new()));
+                self.conns
+                    .insert(conn, (Decoder::new(Side::Server, Limits::default()), String::new(), Vec::new()));
             }
             Input::Data(conn, bytes) => {
                 let Some((decoder, path, body)) = self.conns.get_mut(&conn) else { return };
@@ -135,7 +152,12 @@
     let mut looped = Loop::new(clock).expect("descriptors");
     let node = looped.add(Clients::new((0..n).map(plan).collect(), vec![target], Ledger::default(), true));
     looped.run().expect("a loop");
-    let mut run = Run { first: Histogram::new(3).expect("a histogram"), served: 0, asked: n as usize, took: Duration::ZERO };
+    let mut run = Run {
+        first: Histogram::new(3).expect("a histogram"),
+        served: 0,
+        asked: n as usize,
+        took: Duration::ZERO,
+    };
     for r in looped.machine(node).results() {
         run.took = run.took.max(r.ended.saturating_sub(start));
         if r.ending == Some(Ending::Served) && r.fault.is_none() {
@@ -169,7 +191,13 @@
             let run = load(clock, target, rate, 4.0);
             let ms = |q| run.first.value_at_quantile(q) as f64 / 1000.0;
             let served = run.served as f64 / run.took.as_secs_f64();
-            println!("{name:<22}{:>8}{:>9}{:>9.2}{:>9.2}{served:>9.0}", run.asked, run.served, ms(0.5), ms(0.99));
+            println!(
+                "{name:<22}{:>8}{:>9}{:>9.2}{:>9.2}{served:>9.0}",
+                run.asked,
+                run.served,
+                ms(0.5),
+                ms(0.99)
+            );
         }
     }
     engines_handle.tell(Command::End);
--- a/crates/day/src/actor.rs
+++ b/crates/day/src/actor.rs
@@ -1,7 +1,7 @@
 //! The machines of a day, as one type, so that one driver hosts them all.
 
-use slipreel_front::Front;
 use slipreel_front::site::EngineSite;
+use slipreel_front::Front;
 use slipreel_machine::{Input, Machine, Output};
 use slipreel_standin::client::Clients;
 use slipreel_standin::engine::Engine;
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -32,7 +32,14 @@
             SpecRole::Both => Role::Both,
         };
         let EnginePlan { spec, zone, cell } = self;
-        EngineSite { name: spec.name.clone(), addr: spec.addr, role, zone: zone.clone(), cell: cell.clone(), state }
+        EngineSite {
+            name: spec.name.clone(),
+            addr: spec.addr,
+            role,
+            zone: zone.clone(),
+            cell: cell.clone(),
+            state,
+        }
     }
 }
 
@@ -177,7 +184,8 @@
                 break;
             }
             let prefix = (chance(&mut rng) * t.prefixes as f64) as u64;
-            let system = if t.prefix > 0 { text((n as u64 + 1) << 32 | prefix, t.prefix) } else { String::new() };
+            let system =
+                if t.prefix > 0 { text((n as u64 + 1) << 32 | prefix, t.prefix) } else { String::new() };
             let prompt = length(&mut rng, t.prompt).clamp(1.0, 30_000.0) as usize;
             let answer = (length(&mut rng, t.answer) as u32).clamp(1, t.max_tokens);
             let session = rng.next_u64();
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -14,7 +14,12 @@
 
 /// The figures of the rules for a day.
 pub fn figures_of(day: &Day) -> Figures {
-    Figures { answer_slack: WIRE, drain_grace: DRAIN_GRACE, let_go: day.site.settings.let_go_within, wire: WIRE }
+    Figures {
+        answer_slack: WIRE,
+        drain_grace: DRAIN_GRACE,
+        let_go: day.site.settings.let_go_within,
+        wire: WIRE,
+    }
 }
 
 /// What one group of requests got. A request counts once, by its last try.
@@ -60,11 +65,15 @@
 
 impl Report {
     pub(crate) fn of(played: &Played) -> Report {
-        let (mut models, mut tenants): (BTreeMap<String, Group>, BTreeMap<String, Group>) = Default::default();
-        let last: BTreeMap<u64, u32> = played.results.iter().map(|r| (r.what.request, r.what.number)).collect();
+        let (mut models, mut tenants): (BTreeMap<String, Group>, BTreeMap<String, Group>) =
+            Default::default();
+        let last: BTreeMap<u64, u32> =
+            played.results.iter().map(|r| (r.what.request, r.what.number)).collect();
         for r in &played.results {
             let is_last = last.get(&r.what.request) == Some(&r.what.number);
-            for group in [models.entry(r.model.clone()).or_default(), tenants.entry(r.key.clone()).or_default()] {
+            for group in
+                [models.entry(r.model.clone()).or_default(), tenants.entry(r.key.clone()).or_default()]
+            {
                 group.tries += 1;
                 if !is_last {
                     continue;
@@ -82,7 +91,8 @@
             }
         }
         models.values_mut().chain(tenants.values_mut()).for_each(|g| g.waits.sort_unstable());
-        let faults = played.results.iter().filter_map(|r| r.fault.as_ref().map(|f| format!("{:?}: {f}", r.what)));
+        let faults =
+            played.results.iter().filter_map(|r| r.fault.as_ref().map(|f| format!("{:?}: {f}", r.what)));
         let sum = |f: fn(&slipreel_front::Tally) -> u64| played.tallies.iter().map(f).sum::<u64>();
         let rules = RULES.iter().map(|rule| {
             let broke: Vec<_> = played.breaks.iter().filter(|b| b.rule == *rule).collect();
@@ -113,11 +123,20 @@
                 header[1], header[2], header[3], header[4], header[5], header[6], header[7], header[8]
             )?;
             for (name, g) in groups {
-                let ms = |share| g.wait_at(share).map_or("-".into(), |w| format!("{:.1}", w.as_secs_f64() * 1000.0));
+                let ms = |share| {
+                    g.wait_at(share).map_or("-".into(), |w| format!("{:.1}", w.as_secs_f64() * 1000.0))
+                };
                 writeln!(
                     f,
                     "{name:<18}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}",
-                    g.asked, g.served, g.refused, g.failed, g.left, g.tries, ms(0.5), ms(0.99)
+                    g.asked,
+                    g.served,
+                    g.refused,
+                    g.failed,
+                    g.left,
+                    g.tries,
+                    ms(0.5),
+                    ms(0.99)
                 )?;
             }
         }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 
 /// The sections of a day.
-pub const DAY_SECTIONS: &[&str] =
-    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "day", "engines", "traffic", "trouble"];
+pub const DAY_SECTIONS: &[&str] = &[
+    "router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "day", "engines", "traffic",
+    "trouble",
+];
 
 impl Value for Kind {
     const EXPECTED: &'static str = "a kind of trouble";
@@ -132,17 +134,28 @@
         let named = |s: &&Traffic| t.whom.is_empty() || t.whom == s.key || t.whom == s.model;
         match t.kind {
             Kind::Burst | Kind::TenantBurst => {
-                let more = |s: &Traffic| Traffic { rate: s.rate * (t.size - 1.0).max(0.0), from: t.at, until, ..s.clone() };
+                let more = |s: &Traffic| Traffic {
+                    rate: s.rate * (t.size - 1.0).max(0.0),
+                    from: t.at,
+                    until,
+                    ..s.clone()
+                };
                 streams.extend(usual.iter().filter(named).map(more));
             }
             Kind::HeavyTail => {
-                let long = |s: &Traffic| Traffic { rate: s.rate / 50.0, prompt: s.prompt * t.size, from: t.at, until, ..s.clone() };
+                let long = |s: &Traffic| Traffic {
+                    rate: s.rate / 50.0,
+                    prompt: s.prompt * t.size,
+                    from: t.at,
+                    until,
+                    ..s.clone()
+                };
                 streams.extend(usual.iter().filter(named).map(long));
             }
             Kind::RetryAbuse => {
                 for s in streams.iter_mut().filter(|s| named(&&**s)) {
                     (s.tries, s.backoff, s.heeds) = (t.size.max(1.0) as u32, Duration::from_millis(1), false);
-                    s.patience = s.patience / 2;
+                    s.patience /= 2;
                 }
             }
             _ => {}
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -549,5 +549,15 @@
     let (tallies, leaks) = fleet.stop();
     let records = ledger.records();
     let log = log.lock().map(|l| l.clone()).unwrap_or_default();
-    Ok(Played { breaks: judge(&records, &figures_of(day)), results, records, tallies, leaks, log, digest: 0, inputs: 0, took })
+    Ok(Played {
+        breaks: judge(&records, &figures_of(day)),
+        results,
+        records,
+        tallies,
+        leaks,
+        log,
+        digest: 0,
+        inputs: 0,
+        took,
+    })
 }
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -205,7 +205,10 @@
                         let slow = 1.0 + (self.size - 1.0).max(0.0) * f64::from(n + 1) / f64::from(STEPS);
                         acts.push((from + self.lasts / STEPS * n, Act::Fault(e, Fault::Slow(slow))));
                     }
-                    acts.extend([(until, Act::KillEngine(e)), (until + self.lasts / 2, Act::ReviveEngine(e))]);
+                    acts.extend([
+                        (until, Act::KillEngine(e)),
+                        (until + self.lasts / 2, Act::ReviveEngine(e)),
+                    ]);
                 }
             }
             Kind::ReportLate => {
@@ -214,7 +217,12 @@
                 spell(&mut acts, &all, late, Fault::ReportLate(Duration::ZERO));
             }
             Kind::AnswerLost => {
-                spell(&mut acts, &self.engines(day, rng), Fault::AnswersLost(true), Fault::AnswersLost(false));
+                spell(
+                    &mut acts,
+                    &self.engines(day, rng),
+                    Fault::AnswersLost(true),
+                    Fault::AnswersLost(false),
+                );
             }
             Kind::HandshakeSlow => {
                 let slow = Fault::Handshake(ms(self.size));
@@ -252,12 +260,20 @@
             }
             Kind::LinkCut => {
                 if let [from_engine, to, ..] = self.named_in_order(day)[..] {
-                    acts.extend([(from, Act::CutLink(from_engine, Some(to))), (until, Act::CutLink(from_engine, None))]);
+                    acts.extend([
+                        (from, Act::CutLink(from_engine, Some(to))),
+                        (until, Act::CutLink(from_engine, None)),
+                    ]);
                 }
             }
             Kind::Deaf => spell(&mut acts, &self.engines(day, rng), Fault::Deaf(true), Fault::Deaf(false)),
             Kind::ClosesOnUse => {
-                spell(&mut acts, &self.engines(day, rng), Fault::ClosesOnUse(true), Fault::ClosesOnUse(false));
+                spell(
+                    &mut acts,
+                    &self.engines(day, rng),
+                    Fault::ClosesOnUse(true),
+                    Fault::ClosesOnUse(false),
+                );
             }
             Kind::Garbage => {
                 let kind = GARBAGE[(self.size as usize).min(GARBAGE.len() - 1)];
--- a/crates/day/tests/bad_day.rs
+++ b/crates/day/tests/bad_day.rs
@@ -60,7 +60,12 @@
 
 #[test]
 fn a_router_that_ignores_drains_is_caught() {
-    let mut day = day(2, 2, &trouble("drain", "w-0", 100, 4_000, 1.0), (1..60).map(|n| plan(n, "plain", n * 60)).collect());
+    let mut day = day(
+        2,
+        2,
+        &trouble("drain", "w-0", 100, 4_000, 1.0),
+        (1..60).map(|n| plan(n, "plain", n * 60)).collect(),
+    );
     day.length = Duration::from_secs(4);
     assert_eq!(broken_rules(&day), []);
     day.sabotage = Some(Sabotage::IgnoresLists);
@@ -79,7 +84,8 @@
 #[test]
 fn a_router_that_floods_a_cold_engine_is_caught() {
     let crash = trouble("crash", "w-0,w-1", 100, 700, 1.0);
-    let plans = (1..1200).map(|n| slipreel_standin::client::Plan { length: 40, ..plan(n, "plain", 200 + n * 3) });
+    let plans =
+        (1..1200).map(|n| slipreel_standin::client::Plan { length: 40, ..plan(n, "plain", 200 + n * 3) });
     let mut day = day(4, 2, &crash, plans.collect());
     for engine in &mut day.engines {
         engine.spec.cold_time = Duration::from_secs(8);
--- a/crates/day/tests/common/mod.rs
+++ b/crates/day/tests/common/mod.rs
@@ -80,7 +80,12 @@
 
 /// How the last try of a request ended.
 pub fn ending(played: &Played, request: u64) -> Option<Ending> {
-    played.results.iter().rfind(|r| r.what.request == request).unwrap_or_else(|| panic!("{request} never ended")).ending
+    played
+        .results
+        .iter()
+        .rfind(|r| r.what.request == request)
+        .unwrap_or_else(|| panic!("{request} never ended"))
+        .ending
 }
 
 /// No rule broke, no answer was wrong, nothing is held.
--- a/crates/day/tests/hard_cases.rs
+++ b/crates/day/tests/hard_cases.rs
@@ -53,7 +53,12 @@
         ),
         case(
             "sends too slowly to come in whole",
-            day(1, 1, "[bounds]\nreceive = 300ms\n", vec![with(plan(1, "plain", 0), Habit::SendsSlowly(ms(100)))]),
+            day(
+                1,
+                1,
+                "[bounds]\nreceive = 300ms\n",
+                vec![with(plan(1, "plain", 0), Habit::SendsSlowly(ms(100)))],
+            ),
             &[(1, Some(Failed))],
         ),
         case(
@@ -86,7 +91,12 @@
         ),
         case(
             "a writer is deaf: what may run twice goes elsewhere",
-            day(1, 2, &trouble("deaf", "w-0", 0, 5_000, 1.0), (1..5).map(|n| plan(n, "plain", 100)).collect()),
+            day(
+                1,
+                2,
+                &trouble("deaf", "w-0", 0, 5_000, 1.0),
+                (1..5).map(|n| plan(n, "plain", 100)).collect(),
+            ),
             &(1..5).map(|n| (n, Some(Served))).collect::<Vec<_>>(),
         ),
         case(
@@ -106,7 +116,12 @@
         ),
         case(
             "a reader is cut off from one writer only",
-            day(1, 2, &trouble("link_cut", "w-0,r-0", 0, 5_000, 1.0), (1..6).map(|n| plan(n, "plain", 100)).collect()),
+            day(
+                1,
+                2,
+                &trouble("link_cut", "w-0,r-0", 0, 5_000, 1.0),
+                (1..6).map(|n| plan(n, "plain", 100)).collect(),
+            ),
             &(1..6).map(|n| (n, Some(Served))).collect::<Vec<_>>(),
         ),
     ]
@@ -129,12 +144,22 @@
         case("an event that is no JSON", one(9, "w-0", "plain"), &[(1, Some(Failed))]),
         case(
             "stops in the midst and stays",
-            day(1, 1, &format!("[bounds]\nsilent_stream = 500ms\n{}", garbage(8, "w-0")), vec![plan(1, "plain", 100)]),
+            day(
+                1,
+                1,
+                &format!("[bounds]\nsilent_stream = 500ms\n{}", garbage(8, "w-0")),
+                vec![plan(1, "plain", 100)],
+            ),
             &[(1, Some(Failed))],
         ),
         case(
             "a connection is closed in the moment that it is used",
-            day(1, 2, &trouble("closes_on_use", "w-0", 0, 4_000, 1.0), (1..5).map(|n| plan(n, "plain", 100)).collect()),
+            day(
+                1,
+                2,
+                &trouble("closes_on_use", "w-0", 0, 4_000, 1.0),
+                (1..5).map(|n| plan(n, "plain", 100)).collect(),
+            ),
             &four,
         ),
         case(
@@ -149,7 +174,11 @@
     let whole = |n, at| slipreel_standin::client::Plan { stream: false, ..plan(n, "plain", at) };
     vec![
         case("a whole answer", day(1, 1, "", vec![whole(1, 100)]), &[(1, Some(Served))]),
-        case("a whole answer that breaks", day(1, 1, &garbage(5, "w-0"), vec![whole(1, 100)]), &[(1, Some(Failed))]),
+        case(
+            "a whole answer that breaks",
+            day(1, 1, &garbage(5, "w-0"), vec![whole(1, 100)]),
+            &[(1, Some(Failed))],
+        ),
         case(
             "a whole answer whose time is up while it is written",
             day(
@@ -164,7 +193,10 @@
 }
 
 fn cases() -> Vec<Case> {
-    [clients_that_leave(), engines_that_die(), garbage_and_breaks(), whole_answers()].into_iter().flatten().collect()
+    [clients_that_leave(), engines_that_die(), garbage_and_breaks(), whole_answers()]
+        .into_iter()
+        .flatten()
+        .collect()
 }
 
 fn assert_ends(case: &Case, played: &Played, how: &str) {
@@ -188,7 +220,8 @@
 fn each_ends_alike_over_sockets() {
     let cases = cases();
     std::thread::scope(|scope| {
-        let plays: Vec<_> = cases.iter().map(|case| (case, scope.spawn(|| play_live(&case.day, None)))).collect();
+        let plays: Vec<_> =
+            cases.iter().map(|case| (case, scope.spawn(|| play_live(&case.day, None)))).collect();
         for (case, play) in plays {
             let played = play.join().expect("a play that does not panic").expect("a fleet that starts");
             assert_ends(case, &played, "sockets");
--- a/crates/front/benches/front.rs
+++ b/crates/front/benches/front.rs
@@ -53,7 +53,8 @@
         "be short ".repeat(60),
         "hello there ".repeat(50)
     );
-    format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
 }
 
 fn metrics() -> Vec<u8> {
@@ -61,7 +62,8 @@
     format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}", text.len()).into_bytes()
 }
 
-const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
 fn token() -> Vec<u8> {
     chunk(b"data: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n")
@@ -78,8 +80,16 @@
         let now = Duration::from_secs(1 << 20);
         let body = r#"{"kv_transfer_params":{"do_remote_prefill":true,"remote_block_ids":[7]},"usage":{"prompt_tokens":300}}"#;
         let load = "TEXT named_metrics.num_requests_running=3, named_metrics.num_requests_waiting=0, named_metrics.kv_cache_usage_perc=0.2";
-        let read = format!("HTTP/1.1 200 OK\r\nendpoint-load-metrics: {load}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-        Host { front: Front::new(Arc::new(site()), 5, now, now), now, out: Vec::new(), read: read.into_bytes() }
+        let read = format!(
+            "HTTP/1.1 200 OK\r\nendpoint-load-metrics: {load}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        Host {
+            front: Front::new(Arc::new(site()), 5, now, now),
+            now,
+            out: Vec::new(),
+            read: read.into_bytes(),
+        }
     }
 
     fn tell(&mut self, input: Input<'_>) {
@@ -141,7 +151,12 @@
         host.drain();
     }
     let each = began.elapsed() / N;
-    println!("a request with read, write and 4 events: {:.1} us, {:.0} a second; served {}", each.as_secs_f64() * 1e6, 1.0 / each.as_secs_f64(), host.front.tally().served);
+    println!(
+        "a request with read, write and 4 events: {:.1} us, {:.0} a second; served {}",
+        each.as_secs_f64() * 1e6,
+        1.0 / each.as_secs_f64(),
+        host.front.tally().served
+    );
 }
 
 fn events_a_second() {
@@ -182,7 +197,11 @@
         host.drain();
     }
     let each = (resident() - before) as f64 / N as f64;
-    println!("memory of an open stream, {N} open, prompt of {} bytes: {:.1} KiB", request.len(), each / 1024.0);
+    println!(
+        "memory of an open stream, {N} open, prompt of {} bytes: {:.1} KiB",
+        request.len(),
+        each / 1024.0
+    );
 }
 
 fn module_alone() {
@@ -214,7 +233,9 @@
         let mut attempt = 0;
         while let Some(action) = out.pop() {
             match action {
-                Action::Probe(engine) => router.handle(now, Event::Probed { engine, outcome: Outcome::Ok, report }, &mut out),
+                Action::Probe(engine) => {
+                    router.handle(now, Event::Probed { engine, outcome: Outcome::Ok, report }, &mut out)
+                }
                 Action::SetTimer { timer, after } if after < Duration::from_secs(1) => {
                     router.handle(now, Event::Timer(timer), &mut out);
                 }
@@ -224,8 +245,15 @@
                     if attempt > 0 {
                         router.handle(now, Event::FirstToken { request, attempt, latency }, &mut out);
                     }
-                    let ended =
-                        Ended { request, attempt, outcome, latency, finished: attempt > 0, kept_tokens: 0.0, report };
+                    let ended = Ended {
+                        request,
+                        attempt,
+                        outcome,
+                        latency,
+                        finished: attempt > 0,
+                        kept_tokens: 0.0,
+                        report,
+                    };
                     attempt += 1;
                     router.handle(now, Event::Ended(ended), &mut out);
                 }
@@ -233,7 +261,10 @@
             }
         }
     }
-    println!("of that the module's decisions: {:.1} us a request with 8 engines", began.elapsed().as_secs_f64() * 1e6 / N as f64);
+    println!(
+        "of that the module's decisions: {:.1} us a request with 8 engines",
+        began.elapsed().as_secs_f64() * 1e6 / N as f64
+    );
 }
 
 /// A million settings with half of them cancelled, as connections do, and the rest fired.
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -126,7 +126,8 @@
         if matches!(self.effect, Effect::Keyed { .. }) {
             fields.push(("idempotency-key", self.key.as_str()));
         }
-        let mut bytes = http::request_head("POST", "/v1/chat/completions", &fields, Framing::Length(body.len()));
+        let mut bytes =
+            http::request_head("POST", "/v1/chat/completions", &fields, Framing::Length(body.len()));
         bytes.extend_from_slice(body.as_bytes());
         (attempt, bytes)
     }
@@ -154,7 +155,8 @@
     /// All that may be held for it and that no attempt reads now: to be let go of.
     pub(crate) fn release(&mut self) -> Vec<(EngineId, SocketAddr, String)> {
         self.transfer = None;
-        let (out, free): (Vec<_>, Vec<_>) = self.holders.drain(..).partition(|&(_, _, at)| self.attempts[at].out);
+        let (out, free): (Vec<_>, Vec<_>) =
+            self.holders.drain(..).partition(|&(_, _, at)| self.attempts[at].out);
         self.holders = out;
         free.into_iter().map(|(engine, addr, at)| (engine, addr, self.attempt_name(at))).collect()
     }
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -181,7 +181,9 @@
     }
 
     /// Tells the module how an attempt ended, once.
-    pub(crate) fn ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, kept: f64, load: Option<Load>) {
+    pub(crate) fn ended(
+        &mut self, id: RequestId, attempt: usize, outcome: Outcome, kept: f64, load: Option<Load>,
+    ) {
         let now = self.now;
         let report = load.map(|l| self.report(&l)).unwrap_or_default();
         let Some(call) = self.calls.get_mut(&id) else { return };
--- a/crates/front/src/classify.rs
+++ b/crates/front/src/classify.rs
@@ -28,8 +28,12 @@
     if site.tenants.is_empty() {
         return Ok(Caller { tenant: TenantId(0), may_choose_class: true });
     }
-    let bearer = head.get("authorization").and_then(|v| v.split_once(' ')).filter(|(s, _)| s.eq_ignore_ascii_case("bearer"));
-    let Some(key) = head.get("x-api-key").or(bearer.map(|(_, key)| key.trim())).filter(|k| !k.is_empty()) else {
+    let bearer = head
+        .get("authorization")
+        .and_then(|v| v.split_once(' '))
+        .filter(|(s, _)| s.eq_ignore_ascii_case("bearer"));
+    let Some(key) = head.get("x-api-key").or(bearer.map(|(_, key)| key.trim())).filter(|k| !k.is_empty())
+    else {
         return Err(Fault::new(ErrorKind::Authentication, "x-api-key: expected a key, or a bearer token"));
     };
     let holds = |keys: &[String]| keys.iter().fold(false, |found, k| found | same_key(k, key));
@@ -59,14 +63,19 @@
 }
 
 /// Reads them off a message request.
-pub(crate) fn traits(site: &Site, head: &Head, caller: Caller, ask: &Ask, body_len: usize) -> Result<Traits, Fault> {
+pub(crate) fn traits(
+    site: &Site, head: &Head, caller: Caller, ask: &Ask, body_len: usize,
+) -> Result<Traits, Fault> {
     let Some(model) = site.models.iter().find(|m| m.name == ask.model) else {
         return Err(Fault::new(ErrorKind::NotFound, format!("model: {}", ask.model)));
     };
     let class = match head.get("x-slipreel-class") {
         None => model.class,
         Some(_) if !caller.may_choose_class => {
-            return Err(Fault::new(ErrorKind::Permission, "x-slipreel-class: this key may not choose a class"));
+            return Err(Fault::new(
+                ErrorKind::Permission,
+                "x-slipreel-class: this key may not choose a class",
+            ));
         }
         Some(name) => match site.classes.iter().position(|c| c.name == name) {
             Some(class) => class,
@@ -92,7 +101,10 @@
         time_left: told.map_or(site.classes[class].patience, |told| told.min(site.classes[class].patience)),
         told,
         // The public clients count their own retries in this field.
-        repeat: head.get("x-stainless-retry-count").and_then(|v| v.parse::<u32>().ok()).is_some_and(|n| n > 0),
+        repeat: head
+            .get("x-stainless-retry-count")
+            .and_then(|v| v.parse::<u32>().ok())
+            .is_some_and(|n| n > 0),
         idempotency_key: idempotency_key.map(str::to_owned),
     })
 }
@@ -100,7 +112,10 @@
 /// A header, else `metadata.user_id`, else the first message with the system text: later turns repeat both.
 fn session(head: &Head, ask: &Ask) -> u64 {
     let named = head.get("x-session-id").or(ask.user.as_deref());
-    named.map_or_else(|| hash_values([ask.system.as_ref(), ask.messages.first()]), |name| xxh3_64(name.as_bytes()))
+    named.map_or_else(
+        || hash_values([ask.system.as_ref(), ask.messages.first()]),
+        |name| xxh3_64(name.as_bytes()),
+    )
 }
 
 /// The beginning that other sessions share: tools and system, and the first message as far as its first
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -96,7 +96,9 @@
     }
 
     /// The next whole request, if the bytes so far hold one and none is being served.
-    pub(crate) fn receive(&mut self, now: Duration, out: &mut Vec<Output>) -> Result<Option<Received>, Malformed> {
+    pub(crate) fn receive(
+        &mut self, now: Duration, out: &mut Vec<Output>,
+    ) -> Result<Option<Received>, Malformed> {
         if matches!(self.state, State::Serving(_)) {
             return Ok(None);
         }
@@ -129,7 +131,9 @@
     }
 
     /// Writes a whole answer. `done` has to follow.
-    pub(crate) fn answer(&mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
+    pub(crate) fn answer(
+        &mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
+    ) {
         let connection = if self.keep { "keep-alive" } else { "close" };
         let mut all = vec![("content-type", "application/json"), ("connection", connection)];
         all.extend_from_slice(fields);
@@ -141,8 +145,11 @@
     /// Writes the head of a streamed answer.
     pub(crate) fn begin_stream(&mut self, fields: &[(&str, &str)], out: &mut Vec<Output>) {
         let connection = if self.keep { "keep-alive" } else { "close" };
-        let mut all =
-            vec![("content-type", "text/event-stream"), ("cache-control", "no-cache"), ("connection", connection)];
+        let mut all = vec![
+            ("content-type", "text/event-stream"),
+            ("cache-control", "no-cache"),
+            ("connection", connection),
+        ];
         all.extend_from_slice(fields);
         self.write(http::response_head(200, &all, Framing::Chunked), out);
     }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -218,7 +218,9 @@
 
     /// An attempt ended otherwise than in order. If its answer had begun the request ends with it: whole, if the
     /// engine had said so and only its end mark is missing, else failed.
-    pub(crate) fn attempt_broke(&mut self, id: RequestId, attempt: usize, outcome: Outcome, out: &mut Vec<Output>) {
+    pub(crate) fn attempt_broke(
+        &mut self, id: RequestId, attempt: usize, outcome: Outcome, out: &mut Vec<Output>,
+    ) {
         let begun = self.calls.get(&id).filter(|c| c.begun == Some(attempt) && !c.over);
         let Some(call) = begun else { return self.ended(id, attempt, outcome, 0.0, None) };
         if call.writer.is_whole() {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -198,7 +198,8 @@
         if self.brains.len() > 1 {
             let current = self.generation();
             let calls = &self.calls;
-            let used = |b: &Brain| b.generation == current || calls.values().any(|c| c.generation == b.generation);
+            let used =
+                |b: &Brain| b.generation == current || calls.values().any(|c| c.generation == b.generation);
             self.brains.retain(used);
         }
         if self.stopping && !self.stopped && self.calls.is_empty() && self.clients.is_empty() {
@@ -287,7 +288,9 @@
         self.tell_all(event);
         // What has not left for an engine that drains or is gone goes elsewhere.
         let unsent: Vec<ConnId> = self.sorted_links(|l| {
-            closed.contains(&l.engine) && l.state == LinkState::Connecting && matches!(l.used_for, Use::Attempt { .. })
+            closed.contains(&l.engine)
+                && l.state == LinkState::Connecting
+                && matches!(l.used_for, Use::Attempt { .. })
         });
         for conn in unsent {
             self.drop_link(conn, out, slipreel::Outcome::Moot);
@@ -365,7 +368,8 @@
 }
 
 fn arm(
-    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>, alarm: Alarm,
+    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>,
+    alarm: Alarm,
 ) {
     if let Some(key) = keys.remove(&conn) {
         wheel.cancel(key);
@@ -382,7 +386,8 @@
         self.run_timers(out);
         match input {
             Input::Accepted(conn) => {
-                let limits = slipreel_protocol::http::Limits { body: self.site.bounds.body, ..Default::default() };
+                let limits =
+                    slipreel_protocol::http::Limits { body: self.site.bounds.body, ..Default::default() };
                 if self.stopping || self.clients.len() >= self.site.bounds.connections {
                     out.push(Output::Abort(conn));
                 } else {
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -85,7 +85,9 @@
 }
 
 impl Link {
-    pub(crate) fn new(conn: ConnId, engine: EngineId, used_for: Use, now: Duration, pending: Vec<u8>) -> Self {
+    pub(crate) fn new(
+        conn: ConnId, engine: EngineId, used_for: Use, now: Duration, pending: Vec<u8>,
+    ) -> Self {
         let limits = Limits { body: u64::MAX, ..Limits::default() };
         Link {
             conn,
@@ -151,7 +153,8 @@
                 self.reusable = head.keep_alive;
                 let streams = head.get("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
                 let writes = matches!(self.used_for, Use::Attempt { read: false, .. });
-                self.body = if status == 200 && writes && streams { Body::Stream } else { Body::Whole(status) };
+                self.body =
+                    if status == 200 && writes && streams { Body::Stream } else { Body::Whole(status) };
             }
             Item::Body(piece) if self.body == Body::Stream => self.stream(&piece, out),
             Item::Body(piece) => {
@@ -165,7 +168,9 @@
                     let body = std::mem::take(&mut self.held);
                     out.push(self.whole(status, &body));
                 }
-                Body::Stream if self.events.inside() => out.push(Said::Failed("a stream that ends in an event".into())),
+                Body::Stream if self.events.inside() => {
+                    out.push(Said::Failed("a stream that ends in an event".into()))
+                }
                 Body::Stream => out.push(Said::Done),
                 Body::None => {}
             },
@@ -190,7 +195,9 @@
     fn whole(&self, status: u16, body: &[u8]) -> Said {
         match (status, self.used_for) {
             (200, Use::Attempt { read: true, .. }) => match engine::read_answer(body) {
-                Ok(read) => Said::Read { transfer: read.kv_transfer_params, usage: read.usage.unwrap_or_default() },
+                Ok(read) => {
+                    Said::Read { transfer: read.kv_transfer_params, usage: read.usage.unwrap_or_default() }
+                }
                 Err(why) => Said::Failed(why),
             },
             (200, Use::Probe) => Said::Load(engine::metrics(&String::from_utf8_lossy(body))),
--- a/crates/front/src/members.rs
+++ b/crates/front/src/members.rs
@@ -85,8 +85,11 @@
             self.by_id.insert(id, Member { site: site.clone(), started, told });
         }
         let takes = |m: Option<&Member>| m.is_some_and(|m| m.site.state == EngineState::Ready);
-        let closed =
-            before.iter().filter(|(id, m)| takes(Some(m)) && !takes(self.by_id.get(id))).map(|(&id, _)| id).collect();
+        let closed = before
+            .iter()
+            .filter(|(id, m)| takes(Some(m)) && !takes(self.by_id.get(id)))
+            .map(|(&id, _)| id)
+            .collect();
         let ids: Vec<EngineId> = self.by_id.keys().copied().collect();
         let engines = ids.into_iter().filter_map(|id| self.entry(id)).collect();
         (Event::Engines { listing: Listing::Complete, engines }, closed)
@@ -162,7 +165,10 @@
         let event = members.note_start(s(1100), id, s(1099), COLD).expect("a restart");
         assert_eq!(entries(event)[0].started, Some(s(1099)));
         assert!(members.note_start(s(1101), id, s(1099), COLD).is_none(), "told already");
-        assert!(members.note_start(s(1101), id, s(1098), COLD).is_none(), "the same start, rounded otherwise");
+        assert!(
+            members.note_start(s(1101), id, s(1098), COLD).is_none(),
+            "the same start, rounded otherwise"
+        );
         let event = members.note_start(s(1300), id, s(1290), COLD);
         assert!(event.is_some(), "another restart, heard of late, still voids what was known");
     }
@@ -172,7 +178,8 @@
         let s = Duration::from_secs;
         let mut members = Members::default();
         members.replace(s(1), &[site(1, Role::Read, EngineState::Ready)]);
-        let (event, _) = members.replace(s(50), &[1, 2].map(|port| site(port, Role::Read, EngineState::Ready)));
+        let (event, _) =
+            members.replace(s(50), &[1, 2].map(|port| site(port, Role::Read, EngineState::Ready)));
         let started: Vec<_> = entries(event).iter().map(|e| e.started).collect();
         assert_eq!(started, [None, Some(s(50))]);
         let id = engine_id(SocketAddr::from(([127, 0, 0, 1], 2)));
@@ -186,16 +193,15 @@
         let mut members = Members::default();
         let all = [1, 2, 3].map(|port| site(port, Role::Read, EngineState::Ready));
         members.replace(Duration::ZERO, &all);
-        let list =
-            [site(1, Role::Read, EngineState::Draining), site(2, Role::Write, EngineState::Ready)];
+        let list = [site(1, Role::Read, EngineState::Draining), site(2, Role::Write, EngineState::Ready)];
         let (event, closed) = members.replace(Duration::from_secs(5), &list);
         let id = |port| engine_id(SocketAddr::from(([127, 0, 0, 1], port)));
         assert_eq!(closed, [id(1), id(3)]);
         let entries = entries(event);
-        assert_eq!(entries.iter().map(|e| (e.state, e.kind.0)).collect::<Vec<_>>(), [
-            (EngineState::Draining, 0),
-            (EngineState::Ready, 1)
-        ]);
+        assert_eq!(
+            entries.iter().map(|e| (e.state, e.kind.0)).collect::<Vec<_>>(),
+            [(EngineState::Draining, 0), (EngineState::Ready, 1)]
+        );
         assert_eq!(entries[1].started, Some(Duration::from_secs(5)), "a new role comes with a new start");
         assert!(members.role(id(3)).is_none());
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -48,7 +48,9 @@
     }
 
     /// An answer that needs no engine.
-    fn turn(&mut self, conn: ConnId, status: u16, fault: &Fault, fields: &[(&str, &str)], out: &mut Vec<Output>) {
+    fn turn(
+        &mut self, conn: ConnId, status: u16, fault: &Fault, fields: &[(&str, &str)], out: &mut Vec<Output>,
+    ) {
         let request_id = self.request_id();
         self.tally.turned += 1;
         let body = fault.body(&request_id);
@@ -57,7 +59,9 @@
         self.answer(conn, status, &all, body.as_bytes(), out);
     }
 
-    fn answer(&mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
+    fn answer(
+        &mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
+    ) {
         let stopping = self.stopping;
         let Some(client) = self.clients.get_mut(&conn) else { return };
         if stopping {
@@ -112,9 +116,7 @@
         &mut self, conn: ConnId, received: &Received, one: Option<&str>, out: &mut Vec<Output>,
     ) -> Result<(), Fault> {
         classify::caller(&self.site, &received.head)?;
-        let model = |name: &str| {
-            json!({"type": "model", "id": name, "display_name": name, "created_at": "1970-01-01T00:00:00Z"})
-        };
+        let model = |name: &str| json!({"type": "model", "id": name, "display_name": name, "created_at": "1970-01-01T00:00:00Z"});
         let names: Vec<&str> = self.site.models.iter().map(|m| m.name.as_str()).collect();
         let body = match one {
             Some(name) if names.contains(&name) => model(name),
@@ -127,7 +129,9 @@
         Ok(())
     }
 
-    fn count_tokens(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) -> Result<(), Fault> {
+    fn count_tokens(
+        &mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>,
+    ) -> Result<(), Fault> {
         classify::caller(&self.site, &received.head)?;
         let ask = Ask::parse(&received.body, true)?;
         if !self.site.models.iter().any(|m| m.name == ask.model) {
@@ -312,7 +316,8 @@
 
     /// The final answer of a request that gets no answer of an engine.
     pub(crate) fn answer_fault(
-        &mut self, id: RequestId, fault: &Fault, come_back: Option<Duration>, end: Final, out: &mut Vec<Output>,
+        &mut self, id: RequestId, fault: &Fault, come_back: Option<Duration>, end: Final,
+        out: &mut Vec<Output>,
     ) {
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return };
         let (conn, request_id) = (call.client, call.request_id.clone());
@@ -373,7 +378,8 @@
     pub(crate) fn whole_late(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get(&id).filter(|c| !c.over) else { return };
         let conn = call.begun.and_then(|a| call.attempts[a].conn);
-        let fault = Fault::new(ErrorKind::Timeout, "the answer was not whole in the time that this request has");
+        let fault =
+            Fault::new(ErrorKind::Timeout, "the answer was not whole in the time that this request has");
         self.answer_fault(id, &fault, None, Final::Failed, out);
         if let Some(conn) = conn {
             self.drop_link(conn, out, Outcome::Cancelled);
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -90,11 +90,14 @@
     format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}", body.len())
 }
 
-const BODY: &str = r#"{"model":"m","max_tokens":5,"stream":true,"messages":[{"role":"user","content":"hello"}]}"#;
+const BODY: &str =
+    r#"{"model":"m","max_tokens":5,"stream":true,"messages":[{"role":"user","content":"hello"}]}"#;
 
 /// The connections opened, in order.
 fn connects(out: &[Output]) -> Vec<(ConnId, u16)> {
-    out.iter().filter_map(|o| if let Output::Connect(c, a) = o { Some((*c, a.port())) } else { None }).collect()
+    out.iter()
+        .filter_map(|o| if let Output::Connect(c, a) = o { Some((*c, a.port())) } else { None })
+        .collect()
 }
 
 #[test]
@@ -124,7 +127,10 @@
 #[test]
 fn a_client_that_expects_continue_gets_it_once() {
     let mut host = Host::new(site());
-    let head = format!("POST /v1/messages HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: {}\r\n\r\n", BODY.len());
+    let head = format!(
+        "POST /v1/messages HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: {}\r\n\r\n",
+        BODY.len()
+    );
     assert_eq!(host.ask(&head), "HTTP/1.1 100 Continue\r\n\r\n");
     let out = host.tell(Input::Data(CLIENT, BODY.as_bytes()));
     assert!(!connects(&out).is_empty(), "{out:?}");
@@ -146,7 +152,10 @@
     let mut host = Host::new(site());
     host.ask("GET /health HT");
     let out = host.pass(Bounds::default().receive + ms(5));
-    assert!(text(&out, CLIENT).starts_with("HTTP/1.1 408 ") && out.contains(&Output::Finish(CLIENT)), "{out:?}");
+    assert!(
+        text(&out, CLIENT).starts_with("HTTP/1.1 408 ") && out.contains(&Output::Finish(CLIENT)),
+        "{out:?}"
+    );
     let mut host = Host::new(site());
     host.tell(Input::Accepted(CLIENT));
     assert!(host.pass(Bounds::default().client_idle - ms(5)).is_empty());
@@ -161,7 +170,9 @@
         host.tell(Input::Accepted(ConnId(n)));
         let out = host.tell(Input::Data(ConnId(n), post(BODY).as_bytes()));
         let answer = text(&out, ConnId(n));
-        let over = answer.starts_with("HTTP/1.1 529 ") && answer.contains("retry-after: 1\r\n") && answer.contains("x-should-retry: true");
+        let over = answer.starts_with("HTTP/1.1 529 ")
+            && answer.contains("retry-after: 1\r\n")
+            && answer.contains("x-should-retry: true");
         assert_eq!(over, n == 4, "{n}: {answer}");
     }
 }
@@ -181,7 +192,10 @@
     }
     assert!(answer.starts_with("HTTP/1.1 529 ") || answer.starts_with("HTTP/1.1 504 "), "{answer}");
     assert_eq!(host.front.holds().2, 0);
-    assert!(!host.out.iter().any(|o| matches!(o, Output::Log(l) if l.contains("ejected"))), "no engine is to blame");
+    assert!(
+        !host.out.iter().any(|o| matches!(o, Output::Log(l) if l.contains("ejected"))),
+        "no engine is to blame"
+    );
 }
 
 /// Plays reader and writer up to the first token; gives the writer's connection.
@@ -202,7 +216,8 @@
 }
 
 fn token(words: usize) -> Vec<u8> {
-    let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", "word ".repeat(words));
+    let event =
+        format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", "word ".repeat(words));
     slipreel_protocol::http::chunk(event.as_bytes())
 }
 
@@ -218,7 +233,8 @@
         }
     }
     assert!(paused, "back-pressure reaches the engine");
-    let written: usize = host.out.iter().map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
+    let written: usize =
+        host.out.iter().map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
     assert!(written < 4_000, "{written} bytes wait");
     let out = host.tell(Input::Sent(CLIENT, written));
     assert!(out.contains(&Output::Resume(writer)), "{out:?}");
@@ -235,7 +251,10 @@
     host.tell(Input::Data(writer, &token(1)));
     let out = host.tell(Input::Lost(writer, Loss::Reset));
     let end = text(&out, CLIENT);
-    assert!(end.contains("event: error\n") && end.ends_with("0\r\n\r\n") && !end.contains("message_stop"), "{end}");
+    assert!(
+        end.contains("event: error\n") && end.ends_with("0\r\n\r\n") && !end.contains("message_stop"),
+        "{end}"
+    );
 }
 
 #[test]
@@ -268,7 +287,8 @@
         }
         // The engine is alive and slow: it says a word each second.
         host.tell(Input::Data(writer, &token(1)));
-        let unsent: usize = host.out.drain(..).map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
+        let unsent: usize =
+            host.out.drain(..).map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
         host.tell(Input::Sent(CLIENT, unsent));
     }
     assert!(text(&out, CLIENT).contains("event: error"), "{out:?}");
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -107,6 +107,8 @@
     Listener(Listener),
 }
 
+type Log = Box<dyn FnMut(NodeId, &str) + Send>;
+
 /// An event loop that drives machines over sockets.
 pub struct Loop<M> {
     epoll: OwnedFd,
@@ -127,7 +129,7 @@
     busy: bool,
     commands: mpsc::Receiver<Command<M>>,
     handle: Handle<M>,
-    log: Box<dyn FnMut(NodeId, &str) + Send>,
+    log: Log,
     ended: bool,
 }
 
@@ -256,7 +258,8 @@
     /// Waits for what comes next and handles it.
     fn turn(&mut self, events: &mut Vec<epoll::Event>) -> std::io::Result<()> {
         let timeout = self.next_wake().map(|at| at.saturating_sub(self.clock.now()));
-        let timeout = timeout.map(|t| Timespec { tv_sec: t.as_secs() as i64, tv_nsec: i64::from(t.subsec_nanos()) });
+        let timeout =
+            timeout.map(|t| Timespec { tv_sec: t.as_secs() as i64, tv_nsec: i64::from(t.subsec_nanos()) });
         events.clear();
         match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(events), timeout.as_ref()) {
             Ok(_) | Err(Errno::INTR) => {}
@@ -375,7 +378,9 @@
                     if flags.intersects(EventFlags::OUT) {
                         self.flush(slot);
                     }
-                    if flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP) {
+                    if flags
+                        .intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP)
+                    {
                         self.read(slot);
                     }
                 }
@@ -392,7 +397,12 @@
             if self.nodes[node].frozen {
                 // The kernel takes connections for a process that does not run; nobody takes them up.
                 listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
-                let _ = epoll::modify(&self.epoll, &listener.fd, token(slot, self.uses[slot]), EventFlags::empty());
+                let _ = epoll::modify(
+                    &self.epoll,
+                    &listener.fd,
+                    token(slot, self.uses[slot]),
+                    EventFlags::empty(),
+                );
                 return;
             }
             match net::accept_with(&listener.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
@@ -408,7 +418,12 @@
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(_) => {
                     listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
-                    let _ = epoll::modify(&self.epoll, &listener.fd, token(slot, self.uses[slot]), EventFlags::empty());
+                    let _ = epoll::modify(
+                        &self.epoll,
+                        &listener.fd,
+                        token(slot, self.uses[slot]),
+                        EventFlags::empty(),
+                    );
                     (self.log)(NodeId(node), "no descriptors are left to accept connections");
                     return;
                 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,7 +27,9 @@
 impl fmt::Display for NetError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            NetError::NotLoopback(addr) => write!(f, "{addr}: expected a loopback address (127.0.0.0/8 or ::1)"),
+            NetError::NotLoopback(addr) => {
+                write!(f, "{addr}: expected a loopback address (127.0.0.0/8 or ::1)")
+            }
             NetError::System(addr, why) => write!(f, "{addr}: {why}"),
         }
     }
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -266,10 +266,17 @@
     fn line(&mut self, most: usize, status: u16, what: &str) -> Result<Option<String>, Malformed> {
         let held = &self.buf[self.at..];
         let Some(end) = held.iter().position(|&b| b == b'\n') else {
-            return if held.len() > most { bad(status, format!("{what} over {most} bytes")) } else { Ok(None) };
+            return if held.len() > most {
+                bad(status, format!("{what} over {most} bytes"))
+            } else {
+                Ok(None)
+            };
         };
         if end > most || end == 0 || held[end - 1] != b'\r' {
-            return bad(if end > most { status } else { 400 }, format!("{what} does not end with CR LF in time"));
+            return bad(
+                if end > most { status } else { 400 },
+                format!("{what} does not end with CR LF in time"),
+            );
         }
         let line = std::str::from_utf8(&held[..end - 1]).map(str::to_owned);
         self.at += end + 1;
@@ -365,7 +372,8 @@
             Some(v) if v.eq_ignore_ascii_case("100-continue") => true,
             Some(_) => return bad(417, "an expectation other than 100-continue"),
         };
-        let bodyless = matches!(start, Start::Response { status } if status < 200 || status == 204 || status == 304);
+        let bodyless =
+            matches!(start, Start::Response { status } if status < 200 || status == 204 || status == 304);
         if length.is_some_and(|n| n > self.limits.body) {
             return bad(413, format!("a body over {} bytes", self.limits.body));
         }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -150,7 +150,9 @@
             },
         };
         let messages = match rest.remove("messages") {
-            Some(Value::Array(messages)) if !messages.is_empty() && messages.len() <= MOST_MESSAGES => messages,
+            Some(Value::Array(messages)) if !messages.is_empty() && messages.len() <= MOST_MESSAGES => {
+                messages
+            }
             Some(_) => return invalid("messages: expected a list of 1 to 100000 messages"),
             None => return invalid("messages: Field required"),
         };
@@ -197,7 +199,8 @@
                 }
             }
         }
-        let user = rest.get("metadata").and_then(|m| m.get("user_id")).and_then(Value::as_str).map(str::to_owned);
+        let user =
+            rest.get("metadata").and_then(|m| m.get("user_id")).and_then(Value::as_str).map(str::to_owned);
         Ok(Ask { model, max_tokens, stream, user, system, tools, messages, stop, rest })
     }
 
@@ -275,7 +278,9 @@
 pub fn text_of(content: &Value) -> String {
     match content {
         Value::String(text) => text.clone(),
-        Value::Array(blocks) => blocks.iter().filter_map(|b| b.get("text")?.as_str()).collect::<Vec<_>>().join("\n"),
+        Value::Array(blocks) => {
+            blocks.iter().filter_map(|b| b.get("text")?.as_str()).collect::<Vec<_>>().join("\n")
+        }
         _ => String::new(),
     }
 }
@@ -290,14 +295,18 @@
     for (i, block) in blocks.iter().enumerate() {
         match block["type"].as_str().unwrap_or_default() {
             "text" => parts.push(json!({"type": "text", "text": block["text"]})),
-            "image" | "document" => parts.push(json!({"type": "image_url", "image_url": {"url": source_url(&block["source"])}})),
+            "image" | "document" => {
+                parts.push(json!({"type": "image_url", "image_url": {"url": source_url(&block["source"])}}))
+            }
             "tool_use" => calls.push(json!({"id": block["id"], "type": "function",
                 "function": {"name": block["name"], "arguments": block["input"].to_string()}})),
             "tool_result" => out.push(json!({"role": "tool", "tool_call_id": block["tool_use_id"],
                 "content": text_of(block.get("content").unwrap_or(&Value::Null))})),
             "thinking" | "redacted_thinking" => {}
             other => {
-                return invalid(format!("messages.{at}.content.{i}.type: {other:?} can't be passed to the engines"))
+                return invalid(format!(
+                    "messages.{at}.content.{i}.type: {other:?} can't be passed to the engines"
+                ))
             }
         }
     }
@@ -402,7 +411,11 @@
 
     fn close_block(&mut self, out: &mut Vec<u8>) {
         if std::mem::take(&mut self.open) {
-            self.event("content_block_stop", &json!({"type": "content_block_stop", "index": self.count - 1}), out);
+            self.event(
+                "content_block_stop",
+                &json!({"type": "content_block_stop", "index": self.count - 1}),
+                out,
+            );
         }
     }
 
@@ -425,7 +438,11 @@
         if let Some(Block::Text(whole)) = self.blocks.last_mut() {
             whole.push_str(text);
         }
-        let delta = TextDelta { r#type: "content_block_delta", index: self.count - 1, delta: Delta::TextDelta { text } };
+        let delta = TextDelta {
+            r#type: "content_block_delta",
+            index: self.count - 1,
+            delta: Delta::TextDelta { text },
+        };
         self.event("content_block_delta", &delta, out);
     }
 
@@ -445,8 +462,11 @@
         if let Some(Block::Tool { json: whole, .. }) = self.blocks.last_mut() {
             whole.push_str(json);
         }
-        let delta =
-            TextDelta { r#type: "content_block_delta", index: self.count - 1, delta: Delta::InputJsonDelta { partial_json: json } };
+        let delta = TextDelta {
+            r#type: "content_block_delta",
+            index: self.count - 1,
+            delta: Delta::InputJsonDelta { partial_json: json },
+        };
         self.event("content_block_delta", &delta, out);
     }
 
@@ -456,7 +476,11 @@
         self.close_block(out);
         if self.stream {
             let delta = json!({"stop_reason": reason, "stop_sequence": sequence});
-            self.event("message_delta", &json!({"type": "message_delta", "delta": delta, "usage": usage}), out);
+            self.event(
+                "message_delta",
+                &json!({"type": "message_delta", "delta": delta, "usage": usage}),
+                out,
+            );
             self.event("message_stop", &json!({"type": "message_stop"}), out);
             return;
         }
--- a/crates/protocol/tests/codecs.rs
+++ b/crates/protocol/tests/codecs.rs
@@ -18,7 +18,11 @@
     let text = "\u{feff}event: a\r\ndata: été\r\n\r\n: comment\ndata:1\ndata: 2\n\nevent: none\n\ndata\r\rid: 3\ndata: end".as_bytes();
     let whole = events(text, 0);
     let named: Vec<(&str, &str)> = whole.iter().map(|e| (e.name.as_str(), e.data.as_str())).collect();
-    assert_eq!(named, [("a", "été"), ("", "1\n2"), ("", "")], "one without data is none, one without an end is none");
+    assert_eq!(
+        named,
+        [("a", "été"), ("", "1\n2"), ("", "")],
+        "one without data is none, one without an end is none"
+    );
     for cut in 0..text.len() {
         assert_eq!(events(text, cut), whole, "cut at {cut}");
     }
@@ -56,22 +60,25 @@
 #[test]
 fn a_conversation_becomes_a_chat() {
     let body = json!({
-        "model": "m", "max_tokens": 9, "stop_sequences": ["END"], "top_k": 4,
-        "system": [{"type": "text", "text": "be short", "cache_control": {"type": "ephemeral"}}],
-        "tools": [{"name": "f", "description": "d", "input_schema": {"type": "object"}}], "tool_choice": {"type": "any"},
-        "messages": [
-            {"role": "user", "content": [{"type": "text", "text": "look"},
-                {"type": "image", "source": {"type": "base64", "media_type": "image/png", "data": "AA=="}}]},
-            {"role": "assistant", "content": [{"type": "tool_use", "id": "t1", "name": "f", "input": {"a": 1}}]},
-            {"role": "user", "content": [{"type": "tool_result", "tool_use_id": "t1", "content": "42"}]},
-        ]});
+    "model": "m", "max_tokens": 9, "stop_sequences": ["END"], "top_k": 4,
+    "system": [{"type": "text", "text": "be short", "cache_control": {"type": "ephemeral"}}],
+    "tools": [{"name": "f", "description": "d", "input_schema": {"type": "object"}}], "tool_choice": {"type": "any"},
+    "messages": [
+        {"role": "user", "content": [{"type": "text", "text": "look"},
+            {"type": "image", "source": {"type": "base64", "media_type": "image/png", "data": "AA=="}}]},
+        {"role": "assistant", "content": [{"type": "tool_use", "id": "t1", "name": "f", "input": {"a": 1}}]},
+        {"role": "user", "content": [{"type": "tool_result", "tool_use_id": "t1", "content": "42"}]},
+    ]});
     let ask = Ask::parse(body.to_string().as_bytes(), false).expect("a good request");
     let chat = Value::Object(ask.to_chat().expect("a chat"));
     assert_eq!(chat["messages"][0], json!({"role": "system", "content": "be short"}));
     assert_eq!(chat["messages"][1]["content"][1]["image_url"]["url"], "data:image/png;base64,AA==");
     assert_eq!(chat["messages"][2]["tool_calls"][0]["function"]["arguments"], "{\"a\":1}");
     assert_eq!(chat["messages"][3], json!({"role": "tool", "tool_call_id": "t1", "content": "42"}));
-    assert_eq!((&chat["stop"][0], &chat["tool_choice"], &chat["top_k"]), (&json!("END"), &json!("required"), &json!(4)));
+    assert_eq!(
+        (&chat["stop"][0], &chat["tool_choice"], &chat["top_k"]),
+        (&json!("END"), &json!("required"), &json!(4))
+    );
     assert_eq!(chat["tools"][0]["function"]["parameters"], json!({"type": "object"}));
 }
 
@@ -86,10 +93,15 @@
     answer.tool_json("1}", &mut out);
     answer.text("b", &mut out);
     answer.finish("end_turn", None, Usage { output_tokens: 3, ..Usage::default() }, &mut out);
-    let names: Vec<String> = events(&out, 0).into_iter().map(|e| e.name.replace("content_block_", "")).collect();
-    let expected = "message_start start delta stop start delta delta stop start delta stop message_delta message_stop";
+    let names: Vec<String> =
+        events(&out, 0).into_iter().map(|e| e.name.replace("content_block_", "")).collect();
+    let expected =
+        "message_start start delta stop start delta delta stop start delta stop message_delta message_stop";
     assert_eq!(names.join(" "), expected);
-    let indexes: Vec<Value> = events(&out, 0).iter().map(|e| serde_json::from_str::<Value>(&e.data).expect("JSON")["index"].clone()).collect();
+    let indexes: Vec<Value> = events(&out, 0)
+        .iter()
+        .map(|e| serde_json::from_str::<Value>(&e.data).expect("JSON")["index"].clone())
+        .collect();
     assert_eq!(indexes[1..11], [0, 0, 0, 1, 1, 1, 1, 2, 2, 2].map(Value::from));
 }
 
@@ -106,8 +118,12 @@
     let whole: Value = serde_json::from_slice(&out).expect("JSON");
     assert_eq!(whole["content"][0], json!({"type": "text", "text": "ab"}));
     assert_eq!(whole["content"][1], json!({"type": "tool_use", "id": "t", "name": "f", "input": {"x": 1}}));
-    let error: Value = serde_json::from_str(&Fault::new(ErrorKind::Overloaded, "no").body("req_1")).expect("JSON");
-    assert_eq!((&error["error"]["type"], &error["request_id"]), (&json!("overloaded_error"), &json!("req_1")));
+    let error: Value =
+        serde_json::from_str(&Fault::new(ErrorKind::Overloaded, "no").body("req_1")).expect("JSON");
+    assert_eq!(
+        (&error["error"]["type"], &error["request_id"]),
+        (&json!("overloaded_error"), &json!("req_1"))
+    );
 }
 
 #[test]
@@ -116,7 +132,10 @@
                 vllm:num_requests_waiting{model_name=\"m\"} 2 1700000000000\nvllm:kv_cache_usage_perc 0.5\n\
                 process_start_time_seconds 1.7e9\nvllm:other NaN\nbroken\n";
     let load = engine::metrics(text);
-    assert_eq!((load.running, load.waiting, load.memory, load.started), (Some(3.0), Some(2.0), Some(0.5), Some(1.7e9)));
+    assert_eq!(
+        (load.running, load.waiting, load.memory, load.started),
+        (Some(3.0), Some(2.0), Some(0.5), Some(1.7e9))
+    );
     assert_eq!(engine::metrics(&engine::write_metrics(&load)), load);
     let told = engine::Load { started: None, ..load };
     assert_eq!(engine::orca(&engine::write_orca(&load)), told);
@@ -137,7 +156,9 @@
     assert_eq!((listed[0].ready, listed[0].serving, listed[0].zone.as_deref()), (true, true, Some("z")));
     assert_eq!((listed[1].ready, listed[1].serving, listed[1].terminating), (false, true, true));
     assert!(endpoints::parse("{\"kind\":\"Pod\"}").expect_err("no list").contains("Pod"));
-    assert!(endpoints::parse(&slice.to_string().replace("127.0.0.1", "box")).expect_err("no address").contains("box"));
+    assert!(endpoints::parse(&slice.to_string().replace("127.0.0.1", "box"))
+        .expect_err("no address")
+        .contains("box"));
 }
 
 proptest! {
--- a/crates/protocol/tests/http.rs
+++ b/crates/protocol/tests/http.rs
@@ -78,7 +78,10 @@
         ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabcd\r\n", 400),
         ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nffffffff\r\n", 413),
         ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nfffffffff\r\n", 400),
-        ("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n00000000000000000000000003\r\n", 400),
+        (
+            "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n00000000000000000000000003\r\n",
+            400,
+        ),
     ];
     for (shape, status) in shapes {
         let found = read(Side::Server, shape.as_bytes(), &[]);
@@ -101,7 +104,8 @@
     for cut in ["POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nabc", "POST / HTTP/1.1\r\nhost: a"] {
         assert!(read(Side::Server, cut.as_bytes(), &[]).is_err());
     }
-    assert!(read(Side::Client, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", &[]).is_err());
+    assert!(read(Side::Client, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", &[])
+        .is_err());
 }
 
 #[test]
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -287,7 +287,8 @@
         }
     }
     for (what, t) in &tries {
-        let excused = t.left || t.cut.is_some_and(|at| died.iter().any(|&d| d <= at && at <= d + figures.wire));
+        let excused =
+            t.left || t.cut.is_some_and(|at| died.iter().any(|&d| d <= at && at <= d + figures.wire));
         if t.endings == 0 && !excused {
             say(t.deadline, format!("{what:?} got no final answer"));
         }
@@ -341,7 +342,9 @@
             Seen::Arrived { engine, router, what, .. } => {
                 let told = closed.get(&(router.as_str(), engine.as_str()));
                 if told.is_some_and(|&told| r.at > told + figures.drain_grace + figures.wire) {
-                    let what = format!("{what:?} reached {engine} from {router} long after it was told of the drain");
+                    let what = format!(
+                        "{what:?} reached {engine} from {router} long after it was told of the drain"
+                    );
                     breaks.push(Break { rule: Rule::Drains, at: r.at, what });
                 }
             }
@@ -424,8 +427,12 @@
                     apart.insert((router, engine));
                 } else {
                     apart.remove(&(router.as_str(), engine.as_str()));
-                    let mine = |h: &&mut Held| h.engine == engine && routers.get(&h.what) == Some(&router.as_str());
-                    held.values_mut().filter(mine).filter(|h| h.quiet.is_some()).for_each(|h| h.quiet = Some(r.at));
+                    let mine =
+                        |h: &&mut Held| h.engine == engine && routers.get(&h.what) == Some(&router.as_str());
+                    held.values_mut()
+                        .filter(mine)
+                        .filter(|h| h.quiet.is_some())
+                        .for_each(|h| h.quiet = Some(r.at));
                 }
             }
             Seen::EngineDied(engine) => {
@@ -470,7 +477,8 @@
     const T: Try = Try { request: 1, number: 0 };
 
     fn broken(records: &[(u64, Seen)]) -> Vec<Rule> {
-        let records: Vec<Record> = records.iter().map(|(at, seen)| Record { at: ms(*at), seen: seen.clone() }).collect();
+        let records: Vec<Record> =
+            records.iter().map(|(at, seen)| Record { at: ms(*at), seen: seen.clone() }).collect();
         judge(&records, &FIGURES).into_iter().map(|b| b.rule).collect()
     }
 
@@ -492,10 +500,18 @@
         assert_eq!(broken(&[asked(Effect::Safe), served(900)]), []);
         assert_eq!(broken(&[asked(Effect::Safe), served(900), served(901)]), [Rule::OneAnswer]);
         assert_eq!(broken(&[asked(Effect::Safe), served(1100)]), [Rule::OneAnswer]);
-        assert_eq!(broken(&[asked(Effect::Safe), (900, Seen::Began(T)), served(5000)]), [], "a stream has no deadline");
+        assert_eq!(
+            broken(&[asked(Effect::Safe), (900, Seen::Began(T)), served(5000)]),
+            [],
+            "a stream has no deadline"
+        );
         assert_eq!(broken(&[asked(Effect::Safe)]), [Rule::OneAnswer]);
         assert_eq!(broken(&[asked(Effect::Safe), (500, Seen::Left(T))]), []);
-        assert_eq!(broken(&[asked(Effect::Safe), (1100, Seen::Left(T))]), [Rule::OneAnswer], "it had to leave");
+        assert_eq!(
+            broken(&[asked(Effect::Safe), (1100, Seen::Left(T))]),
+            [Rule::OneAnswer],
+            "it had to leave"
+        );
         assert_eq!(broken(&[asked(Effect::Safe), (500, Seen::Cut(T))]), [Rule::OneAnswer]);
         let died = (490, Seen::RouterDied("r".into()));
         assert_eq!(broken(&[asked(Effect::Safe), died, (500, Seen::Cut(T))]), []);
@@ -526,8 +542,16 @@
         let let_go = |at| (at, Seen::LetGo { engine: "e".into(), state: 7 });
         assert_eq!(broken(&[holds.clone(), let_go(600)]), []);
         assert_eq!(broken(&[holds.clone(), let_go(700)]), [Rule::Pinned]);
-        assert_eq!(broken(&[holds.clone(), arrived(400), let_go(2000), over(2001)]), [], "it waits for a writer");
+        assert_eq!(
+            broken(&[holds.clone(), arrived(400), let_go(2000), over(2001)]),
+            [],
+            "it waits for a writer"
+        );
         assert_eq!(broken(&[holds.clone(), arrived(400), over(900), let_go(1500)]), [Rule::Pinned]);
-        assert_eq!(broken(&[holds, (800, Seen::Fell("x".into()))]), [Rule::Cold, Rule::Pinned], "never let go of");
+        assert_eq!(
+            broken(&[holds, (800, Seen::Fell("x".into()))]),
+            [Rule::Cold, Rule::Pinned],
+            "never let go of"
+        );
     }
 }
--- a/crates/settings/src/doc.rs
+++ b/crates/settings/src/doc.rs
@@ -76,7 +76,13 @@
     pub fn parse(text: &str, file: &str) -> Result<Doc, Vec<Fault>> {
         let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
-            vec![Fault { file: file.into(), line: e.line.max(1), section: String::new(), key: String::new(), what: e.msg.to_string() }]
+            vec![Fault {
+                file: file.into(),
+                line: e.line.max(1),
+                section: String::new(),
+                key: String::new(),
+                what: e.msg.to_string(),
+            }]
         })?;
         let mut doc = Doc { file: file.into(), sections: Vec::new(), faults: Vec::new() };
         let mut lines = Lines::new(text);
@@ -90,16 +96,28 @@
             };
             let line = lines.section(head);
             let (kind, name) = head.trim().split_once(char::is_whitespace).unwrap_or((head.trim(), ""));
-            let mut section =
-                Section { kind: kind.into(), name: name.trim().into(), line, entries: Vec::new(), used: false };
+            let mut section = Section {
+                kind: kind.into(),
+                name: name.trim().into(),
+                line,
+                entries: Vec::new(),
+                used: false,
+            };
             for (key, value) in properties.iter() {
                 let line = lines.key(key);
                 if section.entries.iter().any(|e| e.key == key) {
                     doc.faults.push(doc.fault_at(line, head, key, "is given twice".into()));
                 }
-                section.entries.push(Entry { key: key.into(), value: value.trim().into(), line, used: false });
+                section.entries.push(Entry {
+                    key: key.into(),
+                    value: value.trim().into(),
+                    line,
+                    used: false,
+                });
             }
-            if let Some(first) = doc.sections.iter().find(|s| s.kind == section.kind && s.name == section.name) {
+            if let Some(first) =
+                doc.sections.iter().find(|s| s.kind == section.kind && s.name == section.name)
+            {
                 let what = format!("this section stands at line {} already", first.line);
                 doc.faults.push(doc.fault_at(line, head, "", what));
             }
@@ -201,8 +219,10 @@
                 self.say(at, "", format!("no such section{near}; expected one of {}", known.join(", ")));
                 continue;
             }
-            let known: Vec<String> = section.entries.iter().filter(|e| e.used).map(|e| e.key.clone()).collect();
-            let unread: Vec<String> = section.entries.iter().filter(|e| !e.used).map(|e| e.key.clone()).collect();
+            let known: Vec<String> =
+                section.entries.iter().filter(|e| e.used).map(|e| e.key.clone()).collect();
+            let unread: Vec<String> =
+                section.entries.iter().filter(|e| !e.used).map(|e| e.key.clone()).collect();
             for key in unread {
                 let near = nearest(&key, known.iter().map(String::as_str));
                 self.say(at, &key, format!("no such key here{near}"));
@@ -221,7 +241,11 @@
 /// The known word that differs least, as a hint.
 fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
     let close = |k: &&str| distance(word, k) <= 2;
-    known.filter(close).min_by_key(|k| distance(word, k)).map(|k| format!(", perhaps {k}")).unwrap_or_default()
+    known
+        .filter(close)
+        .min_by_key(|k| distance(word, k))
+        .map(|k| format!(", perhaps {k}"))
+        .unwrap_or_default()
 }
 
 /// Levenshtein's distance.
@@ -261,7 +285,9 @@
     }
 
     fn section(&mut self, head: &str) -> usize {
-        self.find(|line| line.strip_prefix('[').and_then(|l| l.strip_suffix(']')).is_some_and(|h| h.trim() == head.trim()))
+        self.find(|line| {
+            line.strip_prefix('[').and_then(|l| l.strip_suffix(']')).is_some_and(|h| h.trim() == head.trim())
+        })
     }
 
     fn key(&mut self, key: &str) -> usize {
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -3,14 +3,17 @@
 use crate::doc::Doc;
 use crate::values::{Bytes, Loopback, Name, Value};
 use slipreel::{Class, Effect, EngineState, Group, Limits, ReportSource, Role, Settings, Tenant, ZoneId};
-use slipreel_front::site::{starting_class, starting_settings, Bounds, ClassSite, EngineSite, ModelSite, Site};
+use slipreel_front::site::{
+    starting_class, starting_settings, Bounds, ClassSite, EngineSite, ModelSite, Site,
+};
 use slipreel_front::site::{TenantSite, KINDS};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 /// The sections of a router's settings.
-pub const SITE_SECTIONS: &[&str] = &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log"];
+pub const SITE_SECTIONS: &[&str] =
+    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log"];
 
 /// How lines are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +80,11 @@
     let threads = at_least_one(doc, router, "threads", 1);
     let others = doc.or(router, "routers", threads as u32);
     if let Some(at) = router.filter(|_| (others as usize) < threads) {
-        doc.say(at, "routers", format!("{others}: expected at least as many as threads, {threads}: each is a router"));
+        doc.say(
+            at,
+            "routers",
+            format!("{others}: expected at least as many as threads, {threads}: each is a router"),
+        );
     }
     let (classes, class_sites): (Vec<Class>, Vec<ClassSite>) = read_classes(doc).into_iter().unzip();
     let (tenants, tenant_sites): (Vec<Tenant>, Vec<TenantSite>) = read_tenants(doc).into_iter().unzip();
@@ -101,7 +108,9 @@
     };
     let log_format = doc.or(log, "format", LogFormat::Text);
     let log_level = doc.or(log, "level", "info".to_owned());
-    if let Some(at) = log.filter(|_| !["trace", "debug", "info", "warn", "error"].contains(&log_level.as_str())) {
+    if let Some(at) =
+        log.filter(|_| !["trace", "debug", "info", "warn", "error"].contains(&log_level.as_str()))
+    {
         doc.say(at, "level", format!("{log_level:?}: expected trace, debug, info, warn or error"));
     }
     Some(Daemon { site, listen: listen?.0, threads, engines_file, log_format, log_level })
@@ -240,7 +249,8 @@
     for at in doc.all("tenant") {
         let name = named(doc, at);
         let keys = doc.need::<String>(at, "keys").unwrap_or_default();
-        let keys: Vec<String> = keys.split(',').map(|k| k.trim().to_owned()).filter(|k| !k.is_empty()).collect();
+        let keys: Vec<String> =
+            keys.split(',').map(|k| k.trim().to_owned()).filter(|k| !k.is_empty()).collect();
         if let Some(other) = tenants.iter().find(|(_, t)| t.keys.iter().any(|k| keys.contains(k))) {
             // The key itself is a secret and is not shown.
             let what = format!("a key that [tenant {}] has too", other.1.name);
@@ -268,13 +278,17 @@
             doc.say(at, "address", what);
         }
         if let Some(other) = engines.iter().find(|e| e.cell == cell && e.zone != zone) {
-            let what = format!("{cell:?}: a cell lies in one zone, and [engine {}] has it in {:?}", other.name, other.zone);
+            let what = format!(
+                "{cell:?}: a cell lies in one zone, and [engine {}] has it in {:?}",
+                other.name, other.zone
+            );
             doc.say(at, "cell", what);
         }
         engines.push(EngineSite { name, addr, role, zone, cell, state });
     }
     let can = |wanted: Role| engines.iter().any(|e| e.role == wanted || e.role == Role::Both);
-    if !engines.is_empty() && !(can(Role::Read) && can(Role::Write)) {
+    let complete = can(Role::Read) && can(Role::Write);
+    if !(engines.is_empty() || complete) {
         doc.say_file("expected engines that read and engines that write, or some that do both");
     }
     engines
--- a/crates/settings/src/slices.rs
+++ b/crates/settings/src/slices.rs
@@ -21,7 +21,8 @@
             continue;
         }
         let role = listed.role.as_deref().unwrap_or("both");
-        let role = Role::read(role).map_err(|e| format!("{addr}: label slipreel.dev/role {role:?}: expected {e}"))?;
+        let role = Role::read(role)
+            .map_err(|e| format!("{addr}: label slipreel.dev/role {role:?}: expected {e}"))?;
         let zone = listed.zone.unwrap_or_else(|| "default".into());
         let cell = listed.cell.unwrap_or_else(|| zone.clone());
         let takes = listed.ready && !listed.terminating;
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -29,13 +29,19 @@
 #[test]
 fn each_fault_names_place_value_and_what_was_expected() {
     let at = line_of("aim = 1200ms");
-    let expected = format!("f.ini:{at}: [class caption] aim: \"fast\": expected a time such as 250ms, 2s, 1.5s, 10m or 1h");
+    let expected = format!(
+        "f.ini:{at}: [class caption] aim: \"fast\": expected a time such as 250ms, 2s, 1.5s, 10m or 1h"
+    );
     assert_eq!(changed("aim = 1200ms", "aim = fast"), [expected]);
     let one = |from, to, part: &str| {
         let found = changed(from, to);
         assert!(found.len() == 1 && found[0].contains(part), "{to}: {found:?}");
     };
-    one("listen = 127.0.0.1:8080", "listen = 0.0.0.0:8080", "[router] listen: \"0.0.0.0:8080\": expected a loopback address");
+    one(
+        "listen = 127.0.0.1:8080",
+        "listen = 0.0.0.0:8080",
+        "[router] listen: \"0.0.0.0:8080\": expected a loopback address",
+    );
     one("address = 127.0.0.1:9001", "address = 10.0.0.1:9001", "expected a loopback address");
     one("address = 127.0.0.1:9002", "address = 127.0.0.1:9001", "[engine reader-1] has this address already");
     one("effect = keyed", "effect = maybe", "\"maybe\": expected safe, keyed or unsafe");
@@ -53,10 +59,14 @@
 
 #[test]
 fn all_faults_come_at_once_in_order() {
-    let text = SAMPLE.replace("aim = 2s", "aim = soon").replace("role = write", "role = x").replace("stop = 30s", "stop = -1s");
+    let text = SAMPLE
+        .replace("aim = 2s", "aim = soon")
+        .replace("role = write", "role = x")
+        .replace("stop = 30s", "stop = -1s");
     let found = faults(&text);
     assert_eq!(found.len(), 5, "{found:?}");
-    let lines: Vec<usize> = found.iter().map(|f| f.split(':').nth(1).and_then(|n| n.parse().ok()).expect("a line")).collect();
+    let lines: Vec<usize> =
+        found.iter().map(|f| f.split(':').nth(1).and_then(|n| n.parse().ok()).expect("a line")).collect();
     assert!(lines.windows(2).all(|w| w[0] <= w[1]), "{lines:?}");
 }
 
@@ -83,5 +93,7 @@
     let gone = slice("127.0.0.1", "read", r#"{"ready":false,"serving":false}"#);
     assert_eq!(engines_from_slices(&gone).expect("a list"), []);
     assert!(engines_from_slices(&slice("10.0.0.1", "read", "{}")).expect_err("far").contains("loopback"));
-    assert!(engines_from_slices(&slice("127.0.0.1", "reads", "{}")).expect_err("role").contains("read, write or both"));
+    assert!(engines_from_slices(&slice("127.0.0.1", "reads", "{}"))
+        .expect_err("role")
+        .contains("read, write or both"));
 }
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -348,7 +348,8 @@
         let plan = &self.plans[open.plan];
         let target = open.target;
         let ending = open.ending(plan);
-        let again = plan.habit == Habit::Plain && self.keeps_alive && open.error.is_none() && open.decoder.idle();
+        let again =
+            plan.habit == Habit::Plain && self.keeps_alive && open.error.is_none() && open.decoder.idle();
         let idle = &mut self.idle[target];
         if again && open.status != 0 && idle.len() < 256 {
             idle.push_back(conn);
@@ -398,7 +399,10 @@
                 Some(Ending::Refused) => true,
                 Some(Ending::Failed) => plan.effect != Effect::Unsafe && open.status >= 500,
                 // It left by its own will, or its router died with the request.
-                None => plan.habit == Habit::Plain && (plan.effect != Effect::Unsafe || open.error.as_deref() == Some("NotConnected")),
+                None => {
+                    plan.habit == Habit::Plain
+                        && (plan.effect != Effect::Unsafe || open.error.as_deref() == Some("NotConnected"))
+                }
             };
         if may_repeat && number < plan.tries {
             let told = open.come_back.filter(|_| plan.heeds);
@@ -460,7 +464,9 @@
         match (event.name.as_str(), self.place) {
             ("ping", _) => {}
             ("message_start", Place::Start) => self.place = Place::Message,
-            ("content_block_start", Place::Message) if index.is_some() => self.place = Place::Block(index.unwrap_or(0)),
+            ("content_block_start", Place::Message) if index.is_some() => {
+                self.place = Place::Block(index.unwrap_or(0))
+            }
             ("content_block_delta", Place::Block(at)) if index == Some(at) => {
                 if let Some(text) = data["delta"]["text"].as_str() {
                     self.text.push_str(text);
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -60,7 +60,9 @@
     /// Whether it takes the place of this token's events.
     pub(super) fn spoils(self, begins: bool, last: bool) -> bool {
         match self {
-            Garbage::BreaksAfterFirst | Garbage::StopsInMidst | Garbage::BrokenChunk | Garbage::BadEvent => !begins,
+            Garbage::BreaksAfterFirst | Garbage::StopsInMidst | Garbage::BrokenChunk | Garbage::BadEvent => {
+                !begins
+            }
             Garbage::BreaksBeforeEnd => last,
             Garbage::BreaksBeforeMark => false,
             _ => false,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -160,7 +160,9 @@
                 Ok(Some(Item::Head(head))) => conn.head = Some(head),
                 Ok(Some(Item::Body(piece))) => conn.body.extend_from_slice(&piece),
                 Ok(Some(Item::End)) => {
-                    let (Some(head), body) = (conn.head.take(), std::mem::take(&mut conn.body)) else { return };
+                    let (Some(head), body) = (conn.head.take(), std::mem::take(&mut conn.body)) else {
+                        return;
+                    };
                     self.heard_at_last(now, id);
                     self.request(now, id, &head, &body, out);
                 }
@@ -178,7 +180,8 @@
     }
 
     fn answer(&mut self, id: ConnId, status: u16, body: &str, out: &mut Vec<Output>) {
-        let mut bytes = http::response_head(status, &[("content-type", "application/json")], Framing::Length(body.len()));
+        let mut bytes =
+            http::response_head(status, &[("content-type", "application/json")], Framing::Length(body.len()));
         bytes.extend_from_slice(body.as_bytes());
         self.write(id, bytes, out);
     }
@@ -232,8 +235,11 @@
             ("GET", "/metrics") => {
                 let load = Load { started: Some(self.work.started_wall.as_secs_f64()), ..self.load(now) };
                 let text = write_metrics(&load);
-                let mut bytes =
-                    http::response_head(200, &[("content-type", "text/plain; version=0.0.4")], Framing::Length(text.len()));
+                let mut bytes = http::response_head(
+                    200,
+                    &[("content-type", "text/plain; version=0.0.4")],
+                    Framing::Length(text.len()),
+                );
                 bytes.extend_from_slice(text.as_bytes());
                 self.write(id, bytes, out);
             }
@@ -346,7 +352,10 @@
         let fetch = if transfer["do_remote_prefill"] == true {
             let port = u16::try_from(transfer["remote_port"].as_u64()?).ok()?;
             let host = transfer["remote_host"].as_str()?.parse().ok()?;
-            Some(Transfer { addr: SocketAddr::new(host, port), state: transfer["remote_block_ids"][0].as_u64()? })
+            Some(Transfer {
+                addr: SocketAddr::new(host, port),
+                state: transfer["remote_block_ids"][0].as_u64()?,
+            })
         } else {
             None
         };
@@ -439,9 +448,20 @@
         self.next_conn += 1;
         let conn = ConnId::opened(self.next_conn);
         let host = transfer.addr.to_string();
-        let request = http::request_head("GET", &format!("/state/{}", transfer.state), &[("host", &host)], Framing::Length(0));
+        let request = http::request_head(
+            "GET",
+            &format!("/state/{}", transfer.state),
+            &[("host", &host)],
+            Framing::Length(0),
+        );
         let limits = Limits { body: u64::MAX, ..Limits::default() };
-        let fetch = Fetch { job, decoder: Decoder::new(Side::Client, limits), request, ok: false, deadline: now + FETCH_TIME };
+        let fetch = Fetch {
+            job,
+            decoder: Decoder::new(Side::Client, limits),
+            request,
+            ok: false,
+            deadline: now + FETCH_TIME,
+        };
         self.fetches.insert(conn, fetch);
         out.push(Output::Connect(conn, transfer.addr));
     }
@@ -558,11 +578,13 @@
             let fields = [("content-type", "text/event-stream"), ("endpoint-load-metrics", load.as_str())];
             bytes = http::response_head(200, &fields, Framing::Chunked);
         }
-        let chunk = |delta: Value, finish: Value| {
-            json!({"id": name, "object": "chat.completion.chunk", "choices": [{"index": 0, "delta": delta, "finish_reason": finish}]})
-        };
+        let chunk = |delta: Value, finish: Value| json!({"id": name, "object": "chat.completion.chunk", "choices": [{"index": 0, "delta": delta, "finish_reason": finish}]});
         let mut events = Vec::new();
-        sse::write("", &chunk(json!({"content": mark::token(request, n)}), Value::Null).to_string(), &mut events);
+        sse::write(
+            "",
+            &chunk(json!({"content": mark::token(request, n)}), Value::Null).to_string(),
+            &mut events,
+        );
         if last {
             let finish = if job.length == cap { "length" } else { "stop" };
             sse::write("", &chunk(json!({}), finish.into()).to_string(), &mut events);
@@ -653,12 +675,17 @@
             Input::Lost(id, _) => self.gone(now, id, out),
             Input::Sent(id, n) => self.sent(now, id, n, out),
             Input::Wake => {
-                let late: Vec<ConnId> = self.fetches.iter().filter(|(_, f)| f.deadline <= now).map(|(&c, _)| c).collect();
+                let late: Vec<ConnId> =
+                    self.fetches.iter().filter(|(_, f)| f.deadline <= now).map(|(&c, _)| c).collect();
                 late.into_iter().for_each(|conn| self.fetch_failed(now, conn, out));
                 let forgotten: Vec<u64> = self.work.forgotten(now, self.spec.hold_time);
                 forgotten.into_iter().for_each(|state| self.let_go(now, state));
-                let waiting: Vec<ConnId> =
-                    self.conns.iter().filter(|(_, c)| c.job.is_none() && c.decoder.buffered() > 0).map(|(&c, _)| c).collect();
+                let waiting: Vec<ConnId> = self
+                    .conns
+                    .iter()
+                    .filter(|(_, c)| c.job.is_none() && c.decoder.buffered() > 0)
+                    .map(|(&c, _)| c)
+                    .collect();
                 waiting.into_iter().for_each(|id| self.pump(now, id, out));
             }
             Input::Stop => self.stopping = true,
@@ -677,7 +704,12 @@
 
     fn wake_at(&self) -> Option<Duration> {
         let fetch = self.fetches.values().map(|f| f.deadline).min();
-        let shy = self.conns.values().filter(|c| c.decoder.buffered() > 0 && c.job.is_none()).map(|c| c.ready_at).min();
+        let shy = self
+            .conns
+            .values()
+            .filter(|c| c.decoder.buffered() > 0 && c.job.is_none())
+            .map(|c| c.ready_at)
+            .min();
         let shy = shy.filter(|_| !self.faults.deaf);
         let held = self.work.oldest_state().map(|at| at + self.spec.hold_time);
         [self.work.step_at(), fetch, shy, held].into_iter().flatten().min()
--- a/crates/standin/src/engine/work.rs
+++ b/crates/standin/src/engine/work.rs
@@ -282,7 +282,11 @@
     }
 
     pub(super) fn forgotten(&self, now: Duration, hold_time: Duration) -> Vec<u64> {
-        self.states.iter().filter(|(_, s)| !s.taken && s.since + hold_time <= now).map(|(&id, _)| id).collect()
+        self.states
+            .iter()
+            .filter(|(_, s)| !s.taken && s.since + hold_time <= now)
+            .map(|(&id, _)| id)
+            .collect()
     }
 
     pub(super) fn oldest_state(&self) -> Option<Duration> {
@@ -332,7 +336,9 @@
         }
         let read: u64 = reads.iter().map(|(_, part)| part).sum();
         let base = if spec.role == Role::Read { Duration::ZERO } else { spec.step };
-        let takes = base + spec.per_answer * writes.len() as u32 + Duration::from_secs_f64(read as f64 / spec.read_per_s);
+        let takes = base
+            + spec.per_answer * writes.len() as u32
+            + Duration::from_secs_f64(read as f64 / spec.read_per_s);
         let takes = takes.div_f64(factor.max(0.001)).max(Duration::from_micros(100));
         self.step = Some(Step { ends: now + takes, reads, writes });
     }
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -33,7 +33,14 @@
 impl<M: Machine> Gate<M> {
     /// A machine whose links all stand.
     pub fn new(machine: M) -> Self {
-        Gate { machine, cut: BTreeSet::new(), peers: BTreeMap::new(), held: Vec::new(), ledger: None, on_the_way: BTreeMap::new() }
+        Gate {
+            machine,
+            cut: BTreeSet::new(),
+            peers: BTreeMap::new(),
+            held: Vec::new(),
+            ledger: None,
+            on_the_way: BTreeMap::new(),
+        }
     }
 
     /// Notes work that its machine sends and that waits on a cut link.
@@ -69,7 +76,9 @@
                     self.peers.insert(*conn, *addr);
                     Some(*conn)
                 }
-                Output::Write(conn, _) | Output::Shut(conn) | Output::Finish(conn) | Output::Abort(conn) => Some(*conn),
+                Output::Write(conn, _) | Output::Shut(conn) | Output::Finish(conn) | Output::Abort(conn) => {
+                    Some(*conn)
+                }
                 _ => None,
             };
             let cut = conn.is_some_and(|c| self.is_cut(c));
@@ -89,7 +98,9 @@
                 // A connection that never stood is forgotten; one that stood learns of its end with the link.
                 let unknown = |h: &Held| matches!(h, Held::Out(Output::Connect(c, _)) if Some(*c) == conn);
                 if last && self.held.iter().any(unknown) {
-                    self.held.retain(|h| !unknown(h) && !matches!(h, Held::Out(Output::Write(c, _)) if Some(*c) == conn));
+                    self.held.retain(|h| {
+                        !unknown(h) && !matches!(h, Held::Out(Output::Write(c, _)) if Some(*c) == conn)
+                    });
                 } else {
                     self.held.push(Held::Out(output));
                 }
--- a/crates/standin/src/mark.rs
+++ b/crates/standin/src/mark.rs
@@ -48,10 +48,11 @@
 /// The `n`th token of the answer to a request: what the engine writes and the client expects.
 pub fn token(request: u64, n: u32) -> String {
     const WORDS: [&str; 16] = [
-        "goal", "corner", "pass", "shot", "save", "half", "ball", "net", "wing", "line", "run", "kick", "été", "上", "flag",
-        "cap",
+        "goal", "corner", "pass", "shot", "save", "half", "ball", "net", "wing", "line", "run", "kick",
+        "été", "上", "flag", "cap",
     ];
-    let mut x = request.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(n).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let mut x =
+        request.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(n).wrapping_mul(0xff51_afd7_ed55_8ccd);
     x ^= x >> 29;
     format!("{}{n} ", WORDS[(x % 16) as usize])
 }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -194,7 +194,12 @@
         n.backlog.clear();
         n.by_id.clear();
         self.listeners.retain(|_, n| *n != node);
-        let mut mine: Vec<u64> = self.links.iter().filter(|(_, l)| l.ends.iter().any(|e| e.node == node && e.open)).map(|(&k, _)| k).collect();
+        let mut mine: Vec<u64> = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.ends.iter().any(|e| e.node == node && e.open))
+            .map(|(&k, _)| k)
+            .collect();
         mine.sort_unstable();
         for link in mine {
             for end in 0..2 {
@@ -452,7 +457,8 @@
                 self.next_link += 1;
                 let link = self.next_link;
                 let (from, to) = (End { node, id, open: true }, End { node: 0, id: ConnId(0), open: false });
-                self.links.insert(link, Link { ends: [from, to], flows: Default::default(), connected: false });
+                self.links
+                    .insert(link, Link { ends: [from, to], flows: Default::default(), connected: false });
                 self.nodes[node].by_id.insert(id, (link, 0));
                 let at = self.now + self.delay();
                 self.plan(at, Event::Connecting { link, addr });
--- a/src/bin/slipreel-adapter/wire.rs
+++ b/src/bin/slipreel-adapter/wire.rs
@@ -496,7 +496,10 @@
                 Action::Send { request: id, engine, limit: Some(wait) },
                 format!("08 00000018 {ID} 0a124a07 2bc3 4054000000000000"),
             ),
-            (Action::Refuse { request: id, retry_after: None, over_share: false }, format!("09 00000012 {ID} 0000000000000000")),
+            (
+                Action::Refuse { request: id, retry_after: None, over_share: false },
+                format!("09 00000012 {ID} 0000000000000000"),
+            ),
             (Action::Reserve { request: id, engine }, format!("0a 00000010 {ID} 0a124a07 2bc3")),
             (Action::Probe(engine), "0b 00000008 0003 0a124a07 2bc3".into()),
             (
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -83,7 +83,10 @@
         let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
         host.report(2, 30_000.0);
         let out = host.ask(request(1, 1));
-        assert!(out.contains(&Action::Refuse { request: RequestId(1), retry_after: most, over_share: false }), "{out:?}");
+        assert!(
+            out.contains(&Action::Refuse { request: RequestId(1), retry_after: most, over_share: false }),
+            "{out:?}"
+        );
     }
 }
 
