Role changes, first part: planner and an engine's own record of its role

Need: fixed roles waste engines when the mix shifts; nothing could say which to change, or keep two planners from undoing each other. Change: crates/roles without I/O: a mix history that guesses how long an imbalance lasts, a planner with three policies (greedy, forecast, integer program) that explains each change, and a record with epochs. A rule checker judges what is held up to the end of a run, which a test had passed over.

--- a/crates/day/benches/sockets.rs
+++ b/crates/day/benches/sockets.rs
@@ -153,7 +153,7 @@
     let node = looped.add(Clients::new((0..n).map(plan).collect(), vec![target], Ledger::default(), true));
     looped.run().expect("a loop");
     let mut run = Run {
-        first: Histogram::new(3).expect("a histogram"),
+        first: Histogram::new_with_bounds(1, 60_000_000, 3).expect("a histogram"),
         served: 0,
         asked: n as usize,
         took: Duration::ZERO,
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -182,6 +182,7 @@
         // State that nobody took has to be let go of: what the rules allow, and a little.
         let last = stage.now() + self.day.site.settings.let_go_within * 4;
         stage.until(last);
+        self.ledger.note(stage.now(), Seen::RunOver);
     }
 
     fn take(&mut self, stage: &mut impl Stage, step: Step) {
--- /dev/null
+++ b/crates/roles/tests/roles.rs
@@ -0,0 +1,171 @@
+//! The planner and the record: what pays, what limits forbid, and that no order undoes another.
+
+use proptest::prelude::*;
+use slipreel::{CellId, EngineId, Role, ZoneId};
+use slipreel_roles::*;
+use std::time::Duration;
+
+const LIMITS: Limits = Limits {
+    in_flight: 2,
+    readers_in_cell: 1,
+    writers_in_cell: 1,
+    in_zone: 1,
+    least_time: s(15),
+    frozen: false,
+};
+const COSTS: Costs = Costs { drain: s(2), cold: s(10), cold_share: 0.3, read_per_s: 20_000.0 };
+
+const fn s(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn engines(readers: u64, writers: u64, cells: u64) -> Vec<EngineView> {
+    let engine = |n: u64| EngineView {
+        id: EngineId(n),
+        role: if n < readers { Role::Read } else { Role::Write },
+        epoch: n,
+        cell: CellId((n % cells) as u32),
+        zone: ZoneId(0),
+        phase: Phase::Serving,
+        since: s(0),
+        busy: 0.5,
+        kept_tokens: 1000.0 * n as f64,
+    };
+    (0..readers + writers).map(engine).collect()
+}
+
+fn mix(read: f64, write: f64) -> Mix {
+    Mix { read, write }
+}
+
+/// Shows a planner the same view each second until a time; gives its last plan.
+fn settled(planner: &mut Planner, engines: &[EngineView], mix: Mix, until: u64) -> Plan {
+    (100..=until)
+        .map(|t| planner.plan(&View { now: s(t), engines: engines.to_vec(), mix }))
+        .last()
+        .expect("a plan")
+}
+
+#[test]
+fn an_imbalance_that_lasts_is_answered_cheapest_first_and_explained() {
+    for policy in [Policy::Greedy, Policy::Forecast, Policy::Program] {
+        let mut planner = Planner::new(LIMITS, COSTS, policy);
+        let plan = settled(&mut planner, &engines(10, 10, 2), mix(14.0, 3.0), 160);
+        let changed: Vec<u64> = plan.changes.iter().map(|c| c.engine.0).collect();
+        assert_eq!(changed, [10, 11], "{policy:?}: the writers that keep least: {plan:?}");
+        let first = &plan.changes[0];
+        assert_eq!((first.from, first.to, first.replaces), (Role::Write, Role::Read, 10));
+        assert!(first.gain > first.cost && first.to_string().contains("engines short"), "{first}");
+    }
+}
+
+#[test]
+fn nothing_is_changed_without_need_or_too_soon() {
+    let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+    let plan = settled(&mut planner, &engines(10, 10, 2), mix(8.0, 8.0), 160);
+    assert_eq!((plan.changes.len(), plan.because.as_str()), (0, "no stage is short of engines"));
+    let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+    let plan = settled(&mut planner, &engines(10, 10, 2), mix(14.0, 3.0), 102);
+    assert_eq!(plan.because, "the imbalance is too young");
+    let plan = settled(&mut planner, &engines(10, 10, 2), mix(14.0, 3.0), 106);
+    assert!(plan.changes.is_empty() && plan.because.contains("would gain"), "{plan:?}");
+}
+
+#[test]
+fn freeze_stops_all_changes() {
+    let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+    planner.freeze(true);
+    assert_eq!(settled(&mut planner, &engines(10, 10, 2), mix(14.0, 3.0), 160).because, "changes are frozen");
+    planner.freeze(false);
+    assert_eq!(settled(&mut planner, &engines(10, 10, 2), mix(14.0, 3.0), 161).changes.len(), 2);
+}
+
+#[test]
+fn cells_keep_their_least() {
+    // Each of ten cells has one reader and one writer: none may change.
+    let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+    let plan = settled(&mut planner, &engines(10, 10, 10), mix(14.0, 3.0), 160);
+    assert!(plan.changes.is_empty() && plan.because.contains("limits"), "{plan:?}");
+    // A cell with one engine, which is its last reader.
+    let mut one = engines(1, 1, 1);
+    one[1].cell = CellId(7);
+    let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+    assert!(settled(&mut planner, &one, mix(0.1, 3.0), 200).changes.is_empty());
+}
+
+#[test]
+fn changes_under_way_count_for_their_new_role() {
+    let mut all = engines(10, 10, 2);
+    all[10..14].iter_mut().for_each(|e| e.phase = Phase::Changing(Role::Read));
+    let limits = Limits { in_flight: 9, ..LIMITS };
+    let mut planner = Planner::new(limits, COSTS, Policy::Greedy);
+    let plan = settled(&mut planner, &all, mix(12.0, 3.0), 160);
+    assert_eq!(plan.because, "no stage is short of engines");
+    let mut planner = Planner::new(Limits { in_flight: 4, ..LIMITS }, COSTS, Policy::Greedy);
+    assert!(settled(&mut planner, &all, mix(16.0, 3.0), 160).because.contains("under way"));
+}
+
+#[test]
+fn a_mix_that_swings_faster_than_a_change_pays_changes_nothing() {
+    for period in [2, 5, 10, 20, 60] {
+        let mut planner = Planner::new(LIMITS, COSTS, Policy::Greedy);
+        let mut changes = 0;
+        for t in 100..1300u64 {
+            let reading = t * 2 / period % 2 == 0;
+            let mix = if reading { mix(11.0, 4.0) } else { mix(4.0, 11.0) };
+            let plan = planner.plan(&View { now: s(t), engines: engines(10, 10, 2), mix });
+            // The first half of the first swing can't be told from a lasting shift.
+            changes += if t < 100 + period { 0 } else { plan.changes.len() };
+        }
+        assert_eq!(changes, 0, "every {period} s");
+    }
+}
+
+#[test]
+fn an_order_for_another_epoch_changes_nothing() {
+    let mut record = RoleRecord::started(Role::Read, 4, s(10));
+    let order = |replaces, to| Order { replaces, to };
+    assert!(
+        matches!(record.order(s(11), order(3, Role::Write)), Err(Rejected::OtherEpoch(state)) if state.epoch == 4)
+    );
+    assert!(matches!(record.order(s(11), order(4, Role::Read)), Err(Rejected::SameRole(_))));
+    record.order(s(12), order(4, Role::Write)).expect("the present epoch");
+    assert!(!record.takes_work());
+    record.order(s(13), order(4, Role::Write)).expect("the same order again");
+    assert!(matches!(record.order(s(13), order(4, Role::Both)), Err(Rejected::Changing(_))));
+    assert_eq!(record.left(s(14), 1, 0), None);
+    assert_eq!(record.left(s(14), 0, 1), None, "it holds a state that nobody has fetched");
+    let state = record.left(s(15), 0, 0).expect("the new role");
+    assert_eq!((state.role, state.epoch, state.started, state.step), (Role::Write, 5, s(15), Step::Serving));
+    assert!(
+        matches!(record.order(s(16), order(4, Role::Read)), Err(Rejected::OtherEpoch(_))),
+        "a planner back from the dead"
+    );
+}
+
+proptest! {
+    /// Whatever orders come and whatever work is left: epochs grow by one with each role, each with a start time never
+    /// told before, and the role changes only when nothing of the old one is left.
+    #[test]
+    fn epochs_and_starts_only_grow(events in prop::collection::vec((0u8..3, 0u64..6, 0usize..3, 0usize..2), 1..60)) {
+        let mut record = RoleRecord::started(Role::Read, 0, s(1));
+        let roles = [Role::Read, Role::Write, Role::Both];
+        for (n, (kind, epoch, work, held)) in events.into_iter().enumerate() {
+            let before = record.state();
+            // Time stands still now and then.
+            let now = s(1 + n as u64 / 3);
+            if kind == 0 {
+                let taken = record.left(now, work, held).is_some();
+                prop_assert!(!taken || (work, held) == (0, 0));
+                let after = record.state();
+                prop_assert_eq!(after.epoch, before.epoch + u64::from(taken));
+                prop_assert_eq!(after.started > before.started, taken);
+            } else {
+                let taken = record.order(now, Order { replaces: epoch, to: roles[work] }).is_ok();
+                prop_assert!(!taken || epoch == before.epoch);
+                let after = record.state();
+                prop_assert_eq!((after.role, after.epoch, after.started), (before.role, before.epoch, before.started));
+            }
+        }
+    }
+}
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -150,6 +150,8 @@
     },
     /// An engine died with whatever it had.
     EngineDied(String),
+    /// The run is over: what is held until now is judged up to here.
+    RunOver,
     /// A cold engine was sent more than it bears and fell over.
     Fell(String),
 }
