--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -4,11 +4,11 @@
 use crate::trouble::Trouble;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use slipreel::{EngineState, Role};
+use slipreel::EngineState;
 use slipreel_front::site::{EngineSite, Site};
 use slipreel_rulecheck::Effect;
 use slipreel_standin::client::{Habit, Plan};
-use slipreel_standin::engine::{EngineSpec, Role as SpecRole};
+use slipreel_standin::engine::EngineSpec;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,11 +26,7 @@
 impl EnginePlan {
     /// Its entry in the list.
     pub fn listed(&self, state: EngineState) -> EngineSite {
-        let role = match self.spec.role {
-            SpecRole::Read => Role::Read,
-            SpecRole::Write => Role::Write,
-            SpecRole::Both => Role::Both,
-        };
+        let role = self.spec.role.into();
         let EnginePlan { spec, zone, cell } = self;
         EngineSite {
             name: spec.name.clone(),
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -12,7 +12,7 @@
 use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
 use slipreel_rulecheck::{judge, Break, Record, Seen};
 use slipreel_standin::client::{Clients, Result as TryResult};
-use slipreel_standin::engine::Engine;
+use slipreel_standin::engine::{Engine, Role};
 use slipreel_standin::gate::{Cut, Gate};
 use slipreel_standin::ledger::Ledger;
 use slipreel_standin::memory::{Delays, World};
@@ -94,6 +94,8 @@
     seq: u64,
     alive: Vec<bool>,
     draining: Vec<bool>,
+    /// The role that the list gives each engine.
+    roles: Vec<Role>,
     routers_up: Vec<bool>,
     /// What each router was last told.
     told: Vec<Vec<EngineSite>>,
@@ -113,6 +115,7 @@
             seq: 0,
             alive: vec![true; n],
             draining: vec![false; n],
+            roles: day.engines.iter().map(|e| e.spec.role).collect(),
             routers_up: vec![true; day.routers],
             told: Vec::new(),
             cut: None,
@@ -137,7 +140,7 @@
         let entry = |e: usize| {
             let state = if self.draining[e] { EngineState::Draining } else { EngineState::Ready };
             let mut site = self.day.engines[e].listed(state);
-            site.addr = self.addrs[e];
+            (site.addr, site.role) = (self.addrs[e], self.roles[e].into());
             site
         };
         (0..self.alive.len()).filter(|&e| self.alive[e]).map(entry).collect()
@@ -145,7 +148,8 @@
 
     fn engine(&self, e: usize, now: Duration, warm: bool) -> Actor {
         let mut spec = self.day.engines[e].spec.clone();
-        spec.addr = self.addrs[e];
+        // One that comes back after a change comes back in the role that the list has.
+        (spec.addr, spec.role) = (self.addrs[e], self.roles[e]);
         let make = if warm { Engine::warm } else { Engine::new };
         Actor::Engine(Box::new(Gate::new(make(spec, self.ledger.clone(), now, WALL + now))))
     }
@@ -227,6 +231,14 @@
                 self.cut = zone;
                 self.cut_links(stage);
             }
+            Act::ChangeRole(e) => {
+                let to = if self.roles[e] == Role::Read { Role::Write } else { Role::Read };
+                stage.news(Who::Engine(e), Arc::new(to));
+            }
+            Act::ListRole(e) => {
+                self.roles[e] = if self.roles[e] == Role::Read { Role::Write } else { Role::Read };
+                self.list_changes(now);
+            }
             Act::CutLink(e, to) => {
                 let cut: BTreeSet<SocketAddr> = to.map(|to| self.addrs[to]).into_iter().collect();
                 stage.news(Who::Engine(e), Arc::new(Cut(cut)));
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -44,6 +44,8 @@
     RetryAbuse,
     /// Engines drain, leave, and come back started anew.
     Drain,
+    /// Engines change between reading and writing; the list follows when it ends.
+    RoleChange,
     /// The first engine named can't reach the second, to fetch state.
     LinkCut,
     /// Engines take connections and say nothing at all.
@@ -55,7 +57,7 @@
 }
 
 /// All kinds with their names in scripts.
-pub(crate) const KINDS: [(&str, Kind); 22] = [
+pub(crate) const KINDS: [(&str, Kind); 23] = [
     ("crash", Kind::Crash),
     ("slow", Kind::Slow),
     ("pauses", Kind::Pauses),
@@ -74,6 +76,7 @@
     ("throttle", Kind::Throttle),
     ("retry_abuse", Kind::RetryAbuse),
     ("drain", Kind::Drain),
+    ("role_change", Kind::RoleChange),
     ("link_cut", Kind::LinkCut),
     ("deaf", Kind::Deaf),
     ("garbage", Kind::Garbage),
@@ -122,6 +125,10 @@
     ReviveRouter(usize),
     /// These engines are in a zone that is cut off; none: the link is back.
     Cut(Option<String>),
+    /// An engine is ordered to change its role.
+    ChangeRole(usize),
+    /// The list takes an engine as in its other role.
+    ListRole(usize),
     /// An engine can't reach another, or can again.
     CutLink(usize, Option<usize>),
     /// The list takes an engine as draining.
@@ -258,6 +265,12 @@
                     acts.push((until + Duration::from_millis(500), Act::ListDraining(e, false)));
                 }
             }
+            Kind::RoleChange => {
+                for e in self.engines(day, rng) {
+                    acts.extend([(from, Act::ChangeRole(e)), (from, Act::ListDraining(e, true))]);
+                    acts.extend([(until, Act::ListRole(e)), (until, Act::ListDraining(e, false))]);
+                }
+            }
             Kind::LinkCut => {
                 if let [from_engine, to, ..] = self.named_in_order(day)[..] {
                     acts.extend([
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use slipreel_protocol::engine::{write_metrics, write_orca, Load, FULL, NO_STATE};
 use slipreel_protocol::http::{self, Decoder, Framing, Head, Item, Limits, Side, Start};
 use slipreel_protocol::sse;
+use slipreel_roles::{Order, RoleRecord};
 use slipreel_rulecheck::{Seen, Stage, Try};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -54,11 +55,14 @@
     deadline: Duration,
 }
 
-/// A stand-in engine. Takes [`Fault`]s as news.
+/// A stand-in engine. Takes as news a [`Fault`], or a [`Role`] to change to.
 pub struct Engine {
     spec: EngineSpec,
     ledger: Ledger,
     work: Work,
+    role: RoleRecord,
+    /// Wall time at the clock's beginning.
+    wall: Duration,
     faults: Faults,
     conns: BTreeMap<ConnId, Conn>,
     fetches: BTreeMap<ConnId, Fetch>,
@@ -75,6 +79,8 @@
     pub fn new(spec: EngineSpec, ledger: Ledger, now: Duration, wall: Duration) -> Self {
         let work = Work::new(&spec, now, wall);
         Engine {
+            role: RoleRecord::started(spec.role.into(), 0, now),
+            wall: wall.saturating_sub(now),
             spec,
             ledger,
             work,
@@ -244,6 +250,8 @@
                 self.write(id, bytes, out);
             }
             ("POST", "/abort_requests") => self.abort(now, id, body, out),
+            ("GET", "/role") => self.tell_role(id, 200, out),
+            ("POST", "/role") => self.order_role(now, id, body, out),
             ("GET", path) if path.starts_with("/state/") => {
                 let state = path["/state/".len()..].parse().unwrap_or(0);
                 self.serve_state(id, state, out);
@@ -274,6 +282,38 @@
         self.answer(id, 200, "{}", out);
     }
 
+    fn tell_role(&mut self, id: ConnId, status: u16, out: &mut Vec<Output>) {
+        let state = self.role.state();
+        let body = json!({"role": Role::from(state.role).name(), "epoch": state.epoch,
+                          "started": (state.started + self.wall).as_secs_f64(), "serving": self.role.takes_work()});
+        self.answer(id, status, &body.to_string(), out);
+    }
+
+    /// An order to change the role: `{"to": "write", "replaces": 3}`. 409 and the present state if it is not taken.
+    fn order_role(&mut self, now: Duration, id: ConnId, body: &[u8], out: &mut Vec<Output>) {
+        let value: Value = serde_json::from_slice(body).unwrap_or_default();
+        let to = value["to"].as_str().and_then(Role::named);
+        let (Some(to), Some(replaces)) = (to, value["replaces"].as_u64()) else {
+            return self.error(
+                id,
+                400,
+                "BadRequestError",
+                "expected to (read, write, both) and replaces",
+                out,
+            );
+        };
+        let taken = self.role.order(now, Order { replaces, to: to.into() }).is_ok();
+        self.tell_role(id, if taken { 202 } else { 409 }, out);
+        self.change_role(now);
+    }
+
+    /// Takes the new role once nothing of the old one is left: empty, with nothing kept, cold, newly started.
+    fn change_role(&mut self, now: Duration) {
+        let Some(state) = self.role.left(now, self.work.jobs.len(), self.work.states.len()) else { return };
+        self.spec.role = state.role.into();
+        self.work = Work::new(&self.spec, state.started, state.started + self.wall);
+    }
+
     fn let_go(&mut self, now: Duration, state: u64) {
         if self.work.let_go(state) {
             self.note(now, Seen::LetGo { engine: self.spec.name.clone(), state });
@@ -326,7 +366,13 @@
             self.over(now, &job);
             return self.drop_conn(now, id, out);
         }
-        let turned = self.faults.turns_away(&String::from_utf8_lossy(body)) || self.stopping;
+        // Work of another stage than its role's comes from a list that is out of date.
+        let misfit = match job.kind {
+            Kind::Read => self.spec.role == Role::Write,
+            Kind::Write => self.spec.role == Role::Read,
+        };
+        let turned = self.faults.turns_away(&String::from_utf8_lossy(body)) || self.stopping || misfit;
+        let turned = turned || !self.role.takes_work();
         if turned || self.work.is_full(&self.spec) {
             self.over(now, &job);
             return self.error(id, 503, FULL, "slots and queue are full", out);
@@ -693,9 +739,15 @@
                 if let Some(fault) = news.downcast_ref::<Fault>() {
                     self.fault(now, fault, out);
                 }
+                if let Some(to) = news.downcast_ref::<Role>() {
+                    let replaces = self.role.state().epoch;
+                    // One that has the role already keeps it.
+                    let _ = self.role.order(now, Order { replaces, to: (*to).into() });
+                }
             }
         }
         self.turn(now, out);
+        self.change_role(now);
         if self.stopping && !self.stopped && self.work.jobs.is_empty() && self.work.states.is_empty() {
             self.stopped = true;
             out.push(Output::Stopped);
--- a/crates/standin/src/engine/spec.rs
+++ b/crates/standin/src/engine/spec.rs
@@ -14,6 +14,42 @@
     Both,
 }
 
+impl Role {
+    /// Its name on the wire.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Read => "read",
+            Role::Write => "write",
+            Role::Both => "both",
+        }
+    }
+
+    /// The role of that name.
+    pub fn named(name: &str) -> Option<Role> {
+        [Role::Read, Role::Write, Role::Both].into_iter().find(|r| r.name() == name)
+    }
+}
+
+impl From<Role> for slipreel::Role {
+    fn from(role: Role) -> Self {
+        match role {
+            Role::Read => slipreel::Role::Read,
+            Role::Write => slipreel::Role::Write,
+            Role::Both => slipreel::Role::Both,
+        }
+    }
+}
+
+impl From<slipreel::Role> for Role {
+    fn from(role: slipreel::Role) -> Self {
+        match role {
+            slipreel::Role::Read => Role::Read,
+            slipreel::Role::Write => Role::Write,
+            slipreel::Role::Both => Role::Both,
+        }
+    }
+}
+
 /// What one engine is like.
 #[derive(Clone, Debug)]
 pub struct EngineSpec {
