A conductor plans and orders role changes; jammed peers give cold engines no budget

Change: a conductor without I/O asks engines for load and role, plans, and orders with the epoch; the list follows what engines tell.

--- a/crates/day/src/actor.rs
+++ b/crates/day/src/actor.rs
@@ -3,6 +3,7 @@
 use slipreel_front::site::EngineSite;
 use slipreel_front::Front;
 use slipreel_machine::{Input, Machine, Output};
+use slipreel_roles::Conductor;
 use slipreel_standin::client::Clients;
 use slipreel_standin::engine::Engine;
 use slipreel_standin::gate::Gate;
@@ -18,6 +19,8 @@
     Sabotaged(Box<Sabotaged>),
     /// An engine.
     Engine(Box<Gate<Engine>>),
+    /// Who changes roles.
+    Conductor(Box<Conductor>),
     /// The clients.
     Clients(Box<Clients>),
 }
@@ -30,6 +33,7 @@
             Actor::Sabotaged(m) => m.handle(now, input, out),
             Actor::Engine(m) => m.handle(now, input, out),
             Actor::Clients(m) => m.handle(now, input, out),
+            Actor::Conductor(m) => m.handle(now, input, out),
         }
     }
 
@@ -40,6 +44,7 @@
             Actor::Sabotaged(m) => m.wake_at(),
             Actor::Engine(m) => m.wake_at(),
             Actor::Clients(m) => m.wake_at(),
+            Actor::Conductor(m) => m.wake_at(),
         }
     }
 }
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -6,6 +6,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use slipreel::EngineState;
 use slipreel_front::site::{EngineSite, Site};
+use slipreel_roles::Policy;
 use slipreel_rulecheck::Effect;
 use slipreel_standin::client::{Habit, Plan};
 use slipreel_standin::engine::EngineSpec;
@@ -95,6 +96,8 @@
     pub troubles: Vec<Trouble>,
     /// How late the list tells of what happened.
     pub notice: Duration,
+    /// A conductor changes the engines' roles as the mix shifts, by this policy.
+    pub roles: Option<Policy>,
     /// The routers are broken on purpose, to try the rule checker.
     pub sabotage: Option<Sabotage>,
 }
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{spread_traffic, Day, EnginePlan, Traffic};
 use crate::trouble::{Kind, Trouble, KINDS};
 use slipreel::Role;
+use slipreel_roles::Policy;
 use slipreel_settings::{read_site, Daemon, Doc, Fault, Name, Value};
 use slipreel_standin::engine::{EngineSpec, Role as SpecRole};
 use std::net::SocketAddr;
@@ -26,6 +27,22 @@
     }
 }
 
+/// Who changes roles: nobody, or a conductor by a policy.
+struct PolicyName(Option<Policy>);
+
+impl Value for PolicyName {
+    const EXPECTED: &'static str = "fixed, greedy, forecast or program";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "fixed" => Ok(PolicyName(None)),
+            "greedy" => Ok(PolicyName(Some(Policy::Greedy))),
+            "forecast" => Ok(PolicyName(Some(Policy::Forecast))),
+            "program" => Ok(PolicyName(Some(Policy::Program))),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 /// Reads a day.
 ///
 /// # Errors
@@ -39,13 +56,15 @@
     let length = doc.or(at, "length", Duration::from_secs(20));
     let routers = doc.or(at, "routers", 2usize).max(1);
     let notice = doc.or(at, "notice", Duration::from_millis(1_000));
+    let policy = at.and_then(|at| doc.get::<PolicyName>(at, "roles"));
+    let roles = policy.and_then(|p| p.0);
     let mut streams = read_traffic(&mut doc, length);
     let troubles = read_troubles(&mut doc);
     doc.finish(DAY_SECTIONS)?;
     let Some(Daemon { site, .. }) = site else { return Err(Vec::new()) };
     shape_traffic(&mut streams, &troubles);
     let plans = spread_traffic(&site, &streams, seed, 1);
-    Ok(Day { seed, length, routers, site, engines, plans, troubles, notice, sabotage: None })
+    Ok(Day { seed, length, routers, site, engines, plans, troubles, notice, roles, sabotage: None })
 }
 
 fn read_engines(doc: &mut Doc) -> Vec<EnginePlan> {
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -6,10 +6,11 @@
 use crate::trouble::Act;
 use rand_xoshiro::rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use slipreel::EngineState;
+use slipreel::{CellId, EngineState, ZoneId};
 use slipreel_front::site::EngineSite;
-use slipreel_front::{Front, Tally};
+use slipreel_front::{engine_id, Front, Tally};
 use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
+use slipreel_roles::{Conductor, Costs, Limits, Places, Watched};
 use slipreel_rulecheck::{judge, Break, Record, Seen};
 use slipreel_standin::client::{Clients, Result as TryResult};
 use slipreel_standin::engine::{Engine, Role};
@@ -46,6 +47,8 @@
     pub tallies: Vec<Tally>,
     /// What the routers still held at the end: requests under way and timers of these. Anything is a leak.
     pub leaks: usize,
+    /// Changes of role that engines took and turned away.
+    pub orders: (usize, usize),
     /// Lines that the machines wrote.
     pub log: Vec<String>,
     /// In memory: a hash over every byte, when and to whom. The same for the same day.
@@ -146,6 +149,60 @@
         (0..self.alive.len()).filter(|&e| self.alive[e]).map(entry).collect()
     }
 
+    /// A conductor over all engines, if the day has one.
+    fn conductor(&self, now: Duration) -> Option<Conductor> {
+        let policy = self.day.roles?;
+        let mut cells: Vec<&String> = self.day.engines.iter().map(|e| &e.cell).collect();
+        cells.sort_unstable();
+        cells.dedup();
+        let mut zones: Vec<&String> = self.day.engines.iter().map(|e| &e.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let number = |all: &[&String], name: &String| all.iter().position(|n| *n == name).unwrap_or(0) as u32;
+        let watched = |(e, addr): (&crate::fleet::EnginePlan, &SocketAddr)| Watched {
+            id: engine_id(*addr),
+            addr: *addr,
+            cell: CellId(number(&cells, &e.cell)),
+            zone: ZoneId(number(&zones, &e.zone)),
+        };
+        let engines: Vec<Watched> = self.day.engines.iter().zip(&self.addrs).map(watched).collect();
+        let spec = |role| self.day.engines.iter().map(|e| &e.spec).find(|s| s.role == role);
+        let (reader, writer) = (spec(Role::Read), spec(Role::Write));
+        let places = Places {
+            read: reader.map_or(1.0, |s| s.slots as f64),
+            write: writer.map_or(1.0, |s| s.slots as f64),
+        };
+        let first = &self.day.engines.first()?.spec;
+        let costs = Costs {
+            drain: Duration::from_secs(2),
+            cold: first.cold_time,
+            cold_share: first.cold_share,
+            read_per_s: reader.map_or(1.0, |s| s.read_per_s),
+        };
+        let limits = Limits {
+            in_flight: 2,
+            readers_in_cell: 1,
+            writers_in_cell: 1,
+            in_zone: 1,
+            least_time: first.cold_time,
+            frozen: false,
+        };
+        Some(Conductor::new(engines, limits, costs, policy, places, false, now))
+    }
+
+    /// The list follows what the engines tell of their roles.
+    fn follow_roles(&mut self, now: Duration) {
+        let mut changed = false;
+        for e in 0..self.roles.len() {
+            let Some((role, serving)) = self.ledger.role(&self.day.engines[e].spec.name) else { continue };
+            changed |= (self.roles[e], self.draining[e]) != (role, !serving);
+            (self.roles[e], self.draining[e]) = (role, !serving);
+        }
+        if changed {
+            self.list_changes(now);
+        }
+    }
+
     fn engine(&self, e: usize, now: Duration, warm: bool) -> Actor {
         let mut spec = self.day.engines[e].spec.clone();
         // One that comes back after a change comes back in the role that the list has.
@@ -173,15 +230,22 @@
         loop {
             let next = self.steps.first_key_value().map(|((at, _), _)| *at);
             let Some(at) = next else { break };
+            if self.day.roles.is_some() && stage.now() + STEP < at {
+                self.follow(stage, stage.now() + STEP);
+                continue;
+            }
             stage.until(at);
             if let Some((_, step)) = self.steps.pop_first() {
                 self.take(stage, step);
             }
         }
+        while self.day.roles.is_some() && stage.now() < end {
+            self.follow(stage, stage.now() + STEP);
+        }
         stage.until(end);
         while !stage.clients_done() && stage.now() < end + TAIL {
             let next = stage.now() + STEP;
-            stage.until(next);
+            self.follow(stage, next);
         }
         // State that nobody took has to be let go of: what the rules allow, and a little.
         let last = stage.now() + self.day.site.settings.let_go_within * 4;
@@ -189,6 +253,19 @@
         self.ledger.note(stage.now(), Seen::RunOver);
     }
 
+    /// Lets a little time pass and keeps the list by what engines tell.
+    fn follow(&mut self, stage: &mut impl Stage, until: Duration) {
+        stage.until(until);
+        if self.day.roles.is_some() {
+            self.follow_roles(stage.now());
+        }
+        while self.steps.first_key_value().is_some_and(|((at, _), _)| *at <= stage.now()) {
+            if let Some((_, step)) = self.steps.pop_first() {
+                self.take(stage, step);
+            }
+        }
+    }
+
     fn take(&mut self, stage: &mut impl Stage, step: Step) {
         match step {
             Step::Act(act) => self.act(stage, act),
@@ -376,6 +453,7 @@
         world.add(director.router(r, START), &[*addr]);
     }
     let clients = world.add(Actor::Clients(Box::new(clients(day, targets, ledger.clone(), start))), &[]);
+    let conductor = director.conductor(START).map(|c| world.add(Actor::Conductor(Box::new(c)), &[]));
     let mut stage = InMemory { world, engines: addrs.len(), clients };
     director.run(&mut stage, start);
     let world = stage.world;
@@ -386,7 +464,12 @@
     let held: Vec<(Tally, usize)> =
         (0..day.routers).filter_map(|r| held_by(world.machine(addrs.len() + r))).collect();
     let records = ledger.records();
+    let orders = match conductor.map(|c| world.machine(c)) {
+        Some(Actor::Conductor(c)) => c.orders(),
+        _ => (0, 0),
+    };
     Played {
+        orders,
         breaks: judge(&records, &figures_of(day)),
         results,
         records,
@@ -551,8 +634,24 @@
     let handle = looped.handle();
     fleet.clients = Some(spawn(looped, "clients").map_err(|e| e.to_string())?);
     let mut director = Director::new(day, fleet.engine_addrs.clone(), ledger.clone(), start);
+    let conductor = match director.conductor(began) {
+        None => None,
+        Some(conductor) => {
+            let mut looped = Loop::new(fleet.clock).map_err(|e| e.to_string())?;
+            looped.add(Actor::Conductor(Box::new(conductor)));
+            let handle = looped.handle();
+            Some((handle, spawn(looped, "conductor").map_err(|e| e.to_string())?))
+        }
+    };
     director.run(&mut fleet, start);
     let took = fleet.clock.now() - began;
+    let mut orders = (0, 0);
+    if let Some((handle, thread)) = conductor {
+        handle.tell(Command::End);
+        if let Ok([Actor::Conductor(c)]) = thread.join().as_deref() {
+            orders = c.orders();
+        }
+    }
     handle.tell(Command::End);
     let results = match fleet.clients.take().and_then(|t| t.join().ok()).as_deref() {
         Some([Actor::Clients(c)]) => sorted(c.results().to_vec()),
@@ -563,6 +662,7 @@
     let records = ledger.records();
     let log = log.lock().map(|l| l.clone()).unwrap_or_default();
     Ok(Played {
+        orders,
         breaks: judge(&records, &figures_of(day)),
         results,
         records,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -303,6 +303,7 @@
             );
         };
         let taken = self.role.order(now, Order { replaces, to: to.into() }).is_ok();
+        self.tell_list();
         self.tell_role(id, if taken { 202 } else { 409 }, out);
         self.change_role(now);
     }
@@ -312,6 +313,12 @@
         let Some(state) = self.role.left(now, self.work.jobs.len(), self.work.states.len()) else { return };
         self.spec.role = state.role.into();
         self.work = Work::new(&self.spec, state.started, state.started + self.wall);
+        self.tell_list();
+    }
+
+    fn tell_list(&self) {
+        let state = self.role.state();
+        self.ledger.tell_role(&self.spec.name, state.role.into(), self.role.takes_work());
     }
 
     fn let_go(&mut self, now: Duration, state: u64) {
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -1,5 +1,6 @@
 //! Where stand-ins note what they see. Shared by the stand-ins of one run; the router never sees it.
 
+use crate::engine::Role;
 use slipreel_rulecheck::{Record, Seen};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -8,6 +9,8 @@
 #[derive(Default)]
 struct Inside {
     records: Vec<Record>,
+    /// The role that each engine tells of itself, and whether it serves in it.
+    roles: BTreeMap<String, (Role, bool)>,
     /// Keys of keyed requests that have run, by group of engines, and when.
     keys: BTreeMap<(String, String), Duration>,
 }
@@ -32,6 +35,16 @@
         self.inside().records.clone()
     }
 
+    /// An engine tells its role, for whoever keeps the list of engines.
+    pub fn tell_role(&self, engine: &str, role: Role, serving: bool) {
+        self.inside().roles.insert(engine.to_owned(), (role, serving));
+    }
+
+    /// The role that an engine told last, and whether it serves in it.
+    pub fn role(&self, engine: &str) -> Option<(Role, bool)> {
+        self.inside().roles.get(engine).copied()
+    }
+
     /// Whether a key is new to a group of engines that remembers keys for `window`. It is known from now on.
     pub fn first_use(&self, now: Duration, group: &str, key: &str, window: Duration) -> bool {
         let mut inside = self.inside();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -622,3 +622,36 @@
         assert_eq!(sent_to(&host.end(1, 3, Outcome::Read)), Some(second), "seed {seed}");
     }
 }
+
+/// A jammed writer that turns work away does not bear it: a cold one beside it gets no budget from what was refused.
+#[test]
+fn what_was_turned_away_gives_a_cold_engine_no_budget() {
+    let to_cold = |jammed: bool| {
+        let engines = vec![engine(1, 0, 0), engine(2, 1, 0)];
+        let mut host = Host::new(settings(Effect::Safe), 9, engines.clone());
+        let mut count = 0;
+        for id in 0..600 {
+            host.now += ms(10);
+            if id == 400 {
+                let cold = Engine { started: Some(host.now), ..engine(3, 1, 0) };
+                host.list(Listing::Changes, vec![cold]);
+            }
+            host.ask(request(id, 0));
+            let mut attempt = 0;
+            let mut sent = sent_to(&host.end(id, 0, Outcome::Read));
+            while let Some(writer) = sent {
+                attempt += 1;
+                count += u64::from(writer == 3);
+                let turned = jammed && id < 400;
+                let outcome = if turned { Outcome::Full { no_state: false } } else { Outcome::Ok };
+                sent = sent_to(&host.end(id, attempt, outcome));
+                if !turned {
+                    break;
+                }
+            }
+        }
+        count
+    };
+    let (jammed, served) = (to_cold(true), to_cold(false));
+    assert!(jammed > 0 && jammed * 2 < served, "{jammed} after a jam, {served} after work that was done");
+}
