--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -10,7 +10,7 @@
 use slipreel_front::site::EngineSite;
 use slipreel_front::{engine_id, Front, Tally};
 use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
-use slipreel_roles::{Conductor, Costs, Limits, Places, Watched};
+use slipreel_roles::{Conductor, Costs, Limits, Places, Speeds, Watched};
 use slipreel_rulecheck::{judge, Break, Record, Seen};
 use slipreel_standin::client::{Clients, Result as TryResult};
 use slipreel_standin::engine::{Engine, Role};
@@ -150,7 +150,7 @@
     }
 
     /// A conductor over all engines, if the day has one.
-    fn conductor(&self, now: Duration) -> Option<Conductor> {
+    fn conductor(&self, now: Duration, routers: &[SocketAddr]) -> Option<Conductor> {
         let policy = self.day.roles?;
         let mut cells: Vec<&String> = self.day.engines.iter().map(|e| &e.cell).collect();
         cells.sort_unstable();
@@ -187,7 +187,12 @@
             least_time: first.cold_time,
             frozen: false,
         };
-        Some(Conductor::new(engines, limits, costs, policy, places, false, now))
+        let speeds = Speeds {
+            read: reader.map_or(1.0, |s| s.read_per_s),
+            write: writer.map_or(1.0, |s| s.write_per_s()),
+        };
+        let conductor = Conductor::new(engines, limits, costs, policy, places, false, now);
+        Some(conductor.with_routers(routers.to_vec(), speeds))
     }
 
     /// The list follows what the engines tell of their roles.
@@ -452,8 +457,10 @@
     for (r, addr) in targets.iter().enumerate() {
         world.add(director.router(r, START), &[*addr]);
     }
-    let clients = world.add(Actor::Clients(Box::new(clients(day, targets, ledger.clone(), start))), &[]);
-    let conductor = director.conductor(START).map(|c| world.add(Actor::Conductor(Box::new(c)), &[]));
+    let clients =
+        world.add(Actor::Clients(Box::new(clients(day, targets.clone(), ledger.clone(), start))), &[]);
+    let conductor =
+        director.conductor(START, &targets).map(|c| world.add(Actor::Conductor(Box::new(c)), &[]));
     let mut stage = InMemory { world, engines: addrs.len(), clients };
     director.run(&mut stage, start);
     let world = stage.world;
@@ -634,7 +641,7 @@
     let handle = looped.handle();
     fleet.clients = Some(spawn(looped, "clients").map_err(|e| e.to_string())?);
     let mut director = Director::new(day, fleet.engine_addrs.clone(), ledger.clone(), start);
-    let conductor = match director.conductor(began) {
+    let conductor = match director.conductor(began, &fleet.targets) {
         None => None,
         Some(conductor) => {
             let mut looped = Loop::new(fleet.clock).map_err(|e| e.to_string())?;
--- a/crates/day/tests/role_changes.rs
+++ b/crates/day/tests/role_changes.rs
@@ -75,3 +75,19 @@
     let served = day.plans.iter().filter(|p| ending(&played, p.request) == Some(Served)).count();
     assert!(served * 100 >= day.plans.len() * 98, "{served} of {}", day.plans.len());
 }
+
+/// A conductor answers a mix that shifts: it changes engines, in both directions, and every rule holds.
+#[test]
+fn a_conductor_follows_a_shifting_mix() {
+    let text = include_str!("../../../deploy/days/shift.ini")
+        .replace("length = 120s", "length = 80s")
+        .replace("60s", "40s");
+    let day = slipreel_day::read_day(&text, "shift.ini").unwrap_or_else(|faults| panic!("{faults:?}"));
+    let played = play_in_memory(&day);
+    assert_clean("shift", &played);
+    let (taken, turned) = played.orders;
+    assert!(taken >= 2 && turned == 0, "{:?} {:?}", played.orders, played.log);
+    for word in ["Write to Read", "Read to Write"] {
+        assert!(played.log.iter().any(|line| line.contains(word)), "no {word}: {:?}", played.log);
+    }
+}
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -39,6 +39,8 @@
     pub(crate) generation: u64,
     pub(crate) client: ConnId,
     pub(crate) request_id: String,
+    /// Position of its class.
+    pub(crate) class: usize,
     pub(crate) effect: Effect,
     pub(crate) stream: bool,
     /// When its client gives up waiting for the beginning.
@@ -66,6 +68,7 @@
     pub(crate) generation: u64,
     pub(crate) client: ConnId,
     pub(crate) request_id: String,
+    pub(crate) class: usize,
     pub(crate) effect: Effect,
     pub(crate) stream: bool,
     pub(crate) now: Duration,
@@ -84,6 +87,7 @@
             id: new.id,
             generation: new.generation,
             client: new.client,
+            class: new.class,
             effect: new.effect,
             stream: new.stream,
             deadline: new.now.saturating_add(new.time_left),
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -135,7 +135,10 @@
         &mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
     ) {
         let connection = if self.keep { "keep-alive" } else { "close" };
-        let mut all = vec![("content-type", "application/json"), ("connection", connection)];
+        let mut all = vec![("connection", connection)];
+        if !fields.iter().any(|(name, _)| *name == "content-type") {
+            all.push(("content-type", "application/json"));
+        }
         all.extend_from_slice(fields);
         let mut bytes = http::response_head(status, &all, Framing::Length(body.len()));
         bytes.extend_from_slice(body);
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -105,6 +105,11 @@
                     let id = RequestId(call);
                     if let Some(call) = self.calls.get_mut(&id) {
                         call.has_read(attempt, transfer, usage);
+                        let (class, tokens) =
+                            (call.class, usage.prompt_tokens.saturating_sub(usage.cached_tokens()));
+                        self.count_class(class, |c| {
+                            (c.reads, c.read_tokens) = (c.reads + 1, c.read_tokens + tokens)
+                        });
                     }
                     self.ended(id, attempt, Outcome::Read, usage.cached_tokens() as f64, load);
                 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::call::{Call, Final};
 use crate::client::{Client, State as ClientState};
+use crate::gauges::Asked;
 use crate::limits;
 use crate::link::{Link, State as LinkState, Use};
 use crate::members::Members;
@@ -97,6 +98,8 @@
     pub(crate) stopping: bool,
     stopped: bool,
     pub(crate) tally: Tally,
+    /// By class name: what was asked. Names outlive reloads.
+    pub(crate) asked: BTreeMap<String, Asked>,
 }
 
 impl Front {
@@ -125,6 +128,7 @@
             stopping: false,
             stopped: false,
             tally: Tally::default(),
+            asked: BTreeMap::new(),
             site: site.clone(),
         };
         front.add_brain(site.clone());
@@ -362,6 +366,13 @@
         }
     }
 
+    /// Counts something of a class.
+    pub(crate) fn count_class(&mut self, class: usize, count: impl FnOnce(&mut Asked)) {
+        if let Some(class) = self.site.classes.get(class) {
+            count(self.asked.entry(class.name.clone()).or_default());
+        }
+    }
+
     pub(crate) fn engine_name(&self, id: EngineId) -> String {
         self.members.get(id).map_or_else(|| format!("{:x}", id.0), |m| m.site.name.clone())
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 mod client;
 mod engines;
 mod front;
+mod gauges;
 mod limits;
 mod link;
 mod members;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::classify;
 use crate::client::{Received, State};
 use crate::front::Front;
+use crate::gauges;
 use crate::limits::{self, Turned};
 use serde_json::json;
 use slipreel::{Event, Outcome, RequestId};
@@ -100,7 +101,15 @@
                 self.answer(conn, status, &[], json!({"status": word}).to_string().as_bytes(), out);
                 Ok(())
             }
-            (_, "/v1/messages" | "/v1/messages/count_tokens" | "/v1/models" | "/health") => {
+            ("GET", "/metrics") => {
+                let classes: Vec<_> =
+                    self.asked.iter().map(|(name, asked)| (name.as_str(), *asked)).collect();
+                let text = gauges::write(&self.tally, &classes);
+                let fields = [("content-type", "text/plain; version=0.0.4")];
+                self.answer(conn, 200, &fields, text.as_bytes(), out);
+                Ok(())
+            }
+            (_, "/v1/messages" | "/v1/messages/count_tokens" | "/v1/models" | "/health" | "/metrics") => {
                 let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
                 self.turn(conn, 405, &fault, &[], out);
                 Ok(())
@@ -173,6 +182,7 @@
             generation,
             client: conn,
             request_id,
+            class: traits.class.0,
             effect: self.site.settings.classes[traits.class.0].effect,
             stream: ask.stream,
             now: self.now,
@@ -185,6 +195,7 @@
         };
         self.calls.insert(id, Call::new(new));
         self.tally.taken += 1;
+        self.count_class(traits.class.0, |c| c.asked += 1);
         let request = slipreel::Request {
             id,
             class: traits.class,
@@ -300,6 +311,8 @@
         let (conn, stream, request_id) = (call.client, call.stream, call.request_id.clone());
         let mut bytes = Vec::new();
         call.writer.finish(&mut bytes);
+        let (class, tokens) = (call.class, call.writer.used().output_tokens);
+        self.count_class(class, |c| (c.answers, c.answer_tokens) = (c.answers + 1, c.answer_tokens + tokens));
         self.final_of(id, Final::Served);
         if stream {
             if let Some(client) = self.clients.get_mut(&conn) {
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -294,3 +294,21 @@
     assert!(text(&out, CLIENT).contains("event: error"), "{out:?}");
     assert!(out.contains(&Output::Stopped));
 }
+
+#[test]
+fn what_was_asked_is_published_by_class() {
+    let mut host = Host::new(site());
+    let writer = up_to_the_stream(&mut host);
+    host.tell(Input::Data(writer, &token(1)));
+    host.tell(Input::Accepted(ConnId(2)));
+    let out = host.tell(Input::Data(ConnId(2), b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n"));
+    let text = text(&out, ConnId(2));
+    assert!(text.contains("content-type: text/plain") && !text.contains("application/json"), "{text}");
+    for line in [
+        "asked_total{class=\"chat\"} 1",
+        "read_tokens_total{class=\"chat\"} 9",
+        "answers_total{class=\"chat\"} 0",
+    ] {
+        assert!(text.contains(&format!("slipreel_class_{line}\n")), "{line}: {text}");
+    }
+}
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -3,6 +3,7 @@
 //! It holds nothing that matters: any number may run, and one that dies leaves engines that end their change by themselves.
 //! Who does not answer in time is not in the view, and so is neither counted on nor changed.
 
+use crate::demand::{Demand, Speeds};
 use crate::mix::Mix;
 use crate::planner::{Costs, EngineView, Limits, Phase, Plan, Planner, Policy, View};
 use serde_json::{json, Value};
@@ -59,6 +60,8 @@
 }
 
 enum Asked {
+    /// A router's metrics.
+    Router(usize),
     Load,
     Role,
     Order,
@@ -87,6 +90,10 @@
     engines: Vec<Watched>,
     planner: Planner,
     places: Places,
+    /// The routers, whose asks are the demand; without any, what engines hold stands for it.
+    routers: Vec<SocketAddr>,
+    speeds: Speeds,
+    demand: Demand,
     costs: Costs,
     /// Plans are logged and nothing is ordered.
     dry: bool,
@@ -112,6 +119,9 @@
             engines,
             planner: Planner::new(limits, costs, policy),
             places,
+            routers: Vec::new(),
+            speeds: Speeds { read: 1.0, write: 1.0 },
+            demand: Demand::default(),
             costs,
             dry,
             known,
@@ -126,6 +136,12 @@
         }
     }
 
+    /// Reads the demand from what these routers publish, given what an engine does a second.
+    pub fn with_routers(mut self, routers: Vec<SocketAddr>, speeds: Speeds) -> Self {
+        (self.routers, self.speeds) = (routers, speeds);
+        self
+    }
+
     /// The last plan.
     pub fn last_plan(&self) -> &Plan {
         &self.last
@@ -137,11 +153,18 @@
     }
 
     fn talk(&mut self, engine: usize, asked: Vec<Asked>, request: Vec<u8>, out: &mut Vec<Output>) {
+        self.talk_to(self.engines[engine].addr, engine, asked, request, out);
+    }
+
+    fn talk_to(
+        &mut self, addr: SocketAddr, engine: usize, asked: Vec<Asked>, request: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
         self.next_conn += 1;
         let conn = ConnId::opened(self.next_conn);
         let decoder = Decoder::new(Side::Client, HttpLimits::default());
         self.talks.insert(conn, Talk { engine, decoder, status: 0, body: Vec::new(), asked, request });
-        out.push(Output::Connect(conn, self.engines[engine].addr));
+        out.push(Output::Connect(conn, addr));
     }
 
     fn begin_round(&mut self, now: Duration, out: &mut Vec<Output>) {
@@ -155,6 +178,11 @@
             request.extend(http::request_head("GET", "/role", &[("host", &host)], Framing::Length(0)));
             self.talk(engine, vec![Asked::Load, Asked::Role], request, out);
         }
+        for (n, addr) in self.routers.clone().into_iter().enumerate() {
+            let request =
+                http::request_head("GET", "/metrics", &[("host", &addr.to_string())], Framing::Length(0));
+            self.talk_to(addr, 0, vec![Asked::Router(n)], request, out);
+        }
         self.round_at = now + ROUND;
         self.plan_at = Some(now + ROUND.mul_f64(ANSWER_PART));
     }
@@ -171,11 +199,13 @@
                 }
                 Item::Body(piece) => talk.body.extend(piece),
                 Item::End => {
-                    let (body, known) = (std::mem::take(&mut talk.body), &mut self.known[talk.engine]);
-                    if talk.asked.is_empty() {
+                    let body = std::mem::take(&mut talk.body);
+                    let Some(known) = self.known.get_mut(talk.engine).filter(|_| !talk.asked.is_empty())
+                    else {
                         continue;
-                    }
+                    };
                     match talk.asked.remove(0) {
+                        Asked::Router(n) => self.demand.hear(n, &String::from_utf8_lossy(&body)),
                         Asked::Load => known.load = Some(engine::metrics(&String::from_utf8_lossy(&body))),
                         Asked::Role => known.told = told(&body),
                         Asked::Order if talk.status == 202 => self.orders += 1,
@@ -234,7 +264,13 @@
     }
 
     fn plan(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let view = self.view(now);
+        let mut view = self.view(now);
+        match self.demand.take(now, self.speeds) {
+            Some(mix) => view.mix = mix,
+            // Routers that can't be heard ask for nothing that is known: better no change than one by half a view.
+            None if !self.routers.is_empty() => return,
+            None => {}
+        }
         let plan = self.planner.plan(&view);
         for change in &plan.changes {
             out.push(Output::Log(format!("{}{change}", if self.dry { "would order " } else { "orders " })));
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -12,12 +12,14 @@
 #![warn(missing_docs)]
 
 mod conductor;
+mod demand;
 mod mix;
 mod planner;
 mod program;
 mod record;
 
 pub use conductor::{Conductor, Freeze, Places, Watched};
+pub use demand::{Demand, Speeds};
 pub use mix::{Mix, MixHistory};
 pub use planner::{Change, Costs, EngineView, Limits, Phase, Plan, Planner, Policy, View};
 pub use record::{Order, Rejected, RoleRecord, RoleState, Step};
