--- a/crates/settings/src/doc.rs
+++ b/crates/settings/src/doc.rs
@@ -76,13 +76,11 @@
     pub fn parse(text: &str, file: &str) -> Result<Doc, Vec<Fault>> {
         let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
-            vec![Fault {
-                file: file.into(),
-                line: e.line.max(1),
-                section: String::new(),
-                key: String::new(),
-                what: e.msg.to_string(),
-            }]
+            // The parser's own words name its inside; the line says more.
+            let line = e.line.clamp(1, text.lines().count().max(1));
+            let found = text.lines().nth(line - 1).unwrap_or_default().trim();
+            let what = format!("{found:?}: expected [section], key = value, or a comment");
+            vec![Fault { file: file.into(), line, section: String::new(), key: String::new(), what }]
         })?;
         let mut doc = Doc { file: file.into(), sections: Vec::new(), faults: Vec::new() };
         let mut lines = Lines::new(text);
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -97,3 +97,11 @@
         .expect_err("role")
         .contains("read, write or both"));
 }
+
+#[test]
+fn a_line_that_is_no_ini_is_shown() {
+    assert_eq!(
+        faults("[router]\nlisten = 127.0.0.1:1\n[bad"),
+        ["f.ini:3: \"[bad\": expected [section], key = value, or a comment"]
+    );
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -605,7 +605,7 @@
                 Outcome::Full { no_state: true } => server.heard = now,
                 Outcome::Full { .. } => {
                     server.heard = now;
-                    // What is turned away is not borne: jammed peers would seem to bear what no cold one could.
+                    // What is turned away is not borne: jammed peers would seem to bear what no cold one can.
                     let means = &mut self.means[server.role as usize];
                     means.rate = (means.rate - prompt / RATE_SPAN.as_secs_f64()).max(0.0);
                     server.rests.resize(self.settings.classes.len(), Duration::ZERO);
