Test that a reader which could not be told to let go of state is told again

Need: the mend of a lost abort call had no test of its own; it fails when the repetition is taken out. Change: a test at the front.

--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -312,3 +312,34 @@
         assert!(text.contains(&format!("slipreel_class_{line}\n")), "{line}: {text}");
     }
 }
+
+/// A reader that can't be told to let go of state is told again, until it has heard.
+#[test]
+fn a_lost_word_to_let_go_is_said_again() {
+    let mut host = Host::new(site());
+    host.ask(&post(BODY));
+    let read = r#"{"kv_transfer_params":{"x":1},"usage":{"prompt_tokens":9}}"#;
+    let answer =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{read}", read.len());
+    let (reader, _) = connects(&host.out)[0];
+    host.tell(Input::Connected(reader));
+    host.tell(Input::Data(reader, answer.as_bytes()));
+    // The client leaves while the state waits at the reader, whose links are cut for a second.
+    host.out.clear();
+    host.tell(Input::Lost(CLIENT, Loss::Reset));
+    let mut tries = 0;
+    for _ in 0..5 {
+        let opened: Vec<(ConnId, u16)> = connects(&std::mem::take(&mut host.out));
+        tries += opened.iter().filter(|(_, port)| *port == 1).count();
+        host.pass(ms(300));
+    }
+    assert!(tries >= 3, "{tries} tries");
+    // Then one stands, and the reader hears.
+    let (conn, _) = *connects(&host.out).iter().rfind(|(_, port)| *port == 1).expect("one more try");
+    let said = text(&host.tell(Input::Connected(conn)), conn);
+    assert!(said.starts_with("POST /abort_requests ") && said.contains("-0\"]"), "{said}");
+    host.tell(Input::Data(conn, b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"));
+    host.out.clear();
+    host.pass(ms(1_000));
+    assert_eq!(connects(&host.out), [], "it has been heard");
+}
