--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,7 +9,7 @@
 //! 4. `engines`: what the engines say becomes events for the module and, by `translate`, the answer;
 //! 5. `serve`: the one final answer is written.
 //!
-//! `limits` is what the front itself bounds, `members` the list of engines, `wheel` the timers, `site` the settings.
+//! `verdict` says what an engine's refusal proves, `limits` is what the front itself bounds, `members` the list of engines, `wheel` the timers, `site` the settings.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -28,6 +28,7 @@
 mod serve;
 pub mod site;
 mod translate;
+mod verdict;
 mod wheel;
 
 pub use call::Final;
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -9,6 +9,9 @@
 
 /// When to come back after one of these bounds turned a request away. Long enough for a few requests to end.
 pub(crate) const COME_BACK: Duration = Duration::from_millis(1_000);
+/// The longest answer to a read, a probe or a failure, and the longest event of a stream, bytes. Far over what engines
+/// send, far under what would hurt.
+pub(crate) const LONGEST_BODY: usize = 256 << 10;
 /// Bytes of pipelined requests that are kept while one is served.
 pub(crate) const PIPELINED: usize = 64 << 10;
 
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -4,6 +4,8 @@
 //! patience for attempts, `probe` for probes and aborts, `silent_stream` once an answer has begun), `Idle`
 //! (`engine_idle`).
 
+use crate::limits::LONGEST_BODY;
+use crate::verdict::{self, Verdict};
 use serde_json::Value;
 use slipreel::EngineId;
 use slipreel_machine::ConnId;
@@ -12,9 +14,6 @@
 use slipreel_protocol::sse;
 use std::time::Duration;
 
-/// The longest answer to a read, a probe or a failure, and the longest event of a stream, bytes.
-const LONGEST_BODY: usize = 256 << 10;
-
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Use {
@@ -191,7 +190,7 @@
         }
     }
 
-    /// What a whole answer says. Only an answer that says itself that nothing ran counts as full.
+    /// What a whole answer says.
     fn whole(&self, status: u16, body: &[u8]) -> Said {
         match (status, self.used_for) {
             (200, Use::Attempt { read: true, .. }) => match engine::read_answer(body) {
@@ -203,11 +202,10 @@
             (200, Use::Probe) => Said::Load(engine::metrics(&String::from_utf8_lossy(body))),
             (200, Use::Abort(_)) => Said::Done,
             (200, Use::Attempt { .. }) => Said::Failed("no stream where one was asked for".into()),
-            _ => match engine::error_type(body) {
-                Some((kind, _)) if kind == engine::FULL => Said::Full { no_state: false },
-                Some((kind, _)) if kind == engine::NO_STATE => Said::Full { no_state: true },
-                Some((_, message)) if matches!(status, 400 | 413 | 422) => Said::Wrong(status, message),
-                _ => Said::Failed(format!("status {status}")),
+            _ => match verdict::judge(status, body) {
+                Verdict::Full { no_state } => Said::Full { no_state },
+                Verdict::Wrong(message) => Said::Wrong(status, message),
+                Verdict::Failed => Said::Failed(format!("status {status}")),
             },
         }
     }
