Weights of homes are settled when the list changes, not for each candidate

Cause: weight() walked all engines and was called for each reader that a request could choose, so a decision cost the square of the fleet.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,166 @@
+//! What the decisions on one request cost as the fleet grows, on one thread: request, read, write, first token, end, and
+//! the probes between them. Prints a hash over every action beside it: builds that decide alike print the same.
+
+use slipreel::*;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const CELL: u32 = 10;
+const REQUESTS: u64 = 4_000;
+
+fn settings() -> Settings {
+    let class = |worth, effect| Class {
+        aim: Duration::from_secs(1),
+        aim_per_1000: Duration::from_millis(40),
+        worth,
+        effect,
+        streams: true,
+    };
+    Settings {
+        routers: 4,
+        zone: ZoneId(0),
+        tick: Duration::from_millis(5),
+        classes: vec![class(3.0, Effect::Unsafe), class(1.0, Effect::Safe)],
+        tenants: vec![],
+        over_share_worth: 0.05,
+        kinds: vec![Role::Read, Role::Write, Role::Both],
+        writers_read: false,
+        ask_for_engines: false,
+        reports: ReportSource::Answers,
+        limits: Limits {
+            attempts: 6,
+            cancel: true,
+            probes: true,
+            second_copies: false,
+            retry_after: None,
+            connect_timeout: Duration::from_millis(250),
+        },
+        cold_share: 0.3,
+        cold_time: Duration::from_secs(13),
+        let_go_within: Duration::from_millis(500),
+    }
+}
+
+fn engines(n: u64) -> Vec<Engine> {
+    let engine = |id: u64| Engine {
+        id: EngineId(id * 7919),
+        kind: KindId((id % 5 % 2) as usize),
+        cell: CellId(id as u32 / CELL),
+        zone: ZoneId(id as u32 / CELL % 4),
+        ..Engine::default()
+    };
+    (0..n).map(engine).collect()
+}
+
+struct Bench {
+    router: Router,
+    now: Duration,
+    spent: Duration,
+    hash: u64,
+    load: f64,
+}
+
+impl Bench {
+    fn report(&self, engine: EngineId) -> LoadReport {
+        let bits = xxh3_64_with_seed(&engine.0.to_le_bytes(), self.now.as_secs());
+        let part = (bits >> 11) as f64 / (1u64 << 53) as f64;
+        LoadReport {
+            in_flight: Some(9.0),
+            queued: Some((part * self.load).floor()),
+            memory_share: Some(part),
+            ..LoadReport::default()
+        }
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        let from = Instant::now();
+        self.router.handle(self.now, event, &mut out);
+        self.spent += from.elapsed();
+        let said = format!("{out:?}");
+        self.hash = xxh3_64_with_seed(said.as_bytes(), self.hash);
+        out
+    }
+
+    /// Plays one event and all that follows from it.
+    fn play(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.tell(event) {
+                match action {
+                    Action::Probe(engine) => events.push(Event::Probed {
+                        engine,
+                        outcome: Outcome::Ok,
+                        report: self.report(engine),
+                    }),
+                    Action::Send { request, engine, .. } => {
+                        let reads = engine.0 / 7919 % 5 % 2 == 0;
+                        let attempt = usize::from(!reads);
+                        let ended = |outcome, report| {
+                            let latency = Duration::from_millis(20);
+                            let kept_tokens = 0.0;
+                            let finished = outcome == Outcome::Ok;
+                            Event::Ended(Ended {
+                                request,
+                                attempt,
+                                outcome,
+                                latency,
+                                finished,
+                                kept_tokens,
+                                report,
+                            })
+                        };
+                        if reads {
+                            events.push(ended(Outcome::Read, self.report(engine)));
+                        } else {
+                            events.push(ended(Outcome::Ok, self.report(engine)));
+                            let latency = Duration::from_millis(10);
+                            events.push(Event::FirstToken { request, attempt, latency });
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+fn run(n: u64, load: f64) -> (Duration, u64) {
+    let router = Router::new(settings(), 7);
+    let mut bench = Bench { router, now: Duration::from_secs(1000), spent: Duration::ZERO, hash: 0, load };
+    bench.tell(Event::Engines { listing: Listing::Complete, engines: engines(n) });
+    for id in 0..n {
+        let engine = EngineId(id * 7919);
+        let report = bench.report(engine);
+        bench.tell(Event::Probed { engine, outcome: Outcome::Ok, report });
+    }
+    bench.spent = Duration::ZERO;
+    for id in 0..REQUESTS {
+        bench.now += Duration::from_micros(500);
+        bench.play(Event::Request(Request {
+            id: RequestId(id),
+            class: ClassId((id % 2) as usize),
+            session: id / 3,
+            shared_prefix: (id % 4 == 0).then_some(id % 16),
+            prompt_tokens: 200.0 + (id * 37 % 1900) as f64,
+            max_output_tokens: 300.0,
+            time_left: Duration::from_secs(6),
+            ..Request::default()
+        }));
+    }
+    (bench.spent / REQUESTS as u32, bench.hash)
+}
+
+fn main() {
+    for load in [0.0, 30.0] {
+        let mut small = None;
+        for n in [10, 50, 200, 1_000, 5_000] {
+            let (spent, hash) = run(n, load);
+            if n == 50 {
+                small = Some(spent);
+            }
+            let ratio = small.map_or(1.0, |s| spent.as_secs_f64() / s.as_secs_f64());
+            println!("queues to {load:>2} {n:>6} engines {spent:>12.1?} a request, {ratio:>7.2} of 50, {hash:016x}");
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -89,6 +89,8 @@
 struct Server {
     entry: Engine,
     role: Role,
+    /// Its weight as a home, by the list.
+    weight: f64,
     report: Option<(Duration, LoadReport)>,
     /// Own prompt tokens sent since the report and still waiting.
     since: f64,
@@ -371,7 +373,7 @@
         });
         homes.sort_by_cached_key(|id| {
             let hash = (xxh3_64_with_seed(&id.0.to_le_bytes(), key) >> 11) as f64 / (1u64 << 53) as f64;
-            (-hash.ln() / self.weight(&self.servers[id])).to_bits()
+            (-hash.ln() / self.servers[id].weight).to_bits()
         });
         let mut others = homes.split_off(homes.len().min(2));
         homes.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
@@ -380,16 +382,26 @@
     }
 
     /// A reader is home in proportion to the writers of its cell, in bounds: state that finds none goes far.
-    fn weight(&self, home: &Server) -> f64 {
-        let count = |near: bool, role: Role| {
-            let at = |s: &&Server| s.ready() && (!near || s.entry.cell == home.entry.cell);
-            let part =
-                |s: &Server| if s.role == role { 2.0 } else { f64::from(u8::from(s.role == Role::Both)) };
-            self.servers.values().filter(at).map(part).sum::<f64>().max(1.0)
-        };
-        let ratio = |near| count(near, Role::Write) / count(near, Role::Read);
-        let [least, most] = if home.role == Role::Read { HOME_WEIGHTS } else { [1.0; 2] };
-        (ratio(true) / ratio(false)).clamp(least, most)
+    /// Settled when the list changes, as nothing else moves it.
+    fn settle_weights(&mut self) {
+        let mut fleet = [0.0; 2];
+        let mut cells: BTreeMap<CellId, [f64; 2]> = BTreeMap::new();
+        for server in self.servers.values().filter(|s| s.ready()) {
+            let parts = match server.role {
+                Role::Read => [2.0, 0.0],
+                Role::Write => [0.0, 2.0],
+                Role::Both => [1.0, 1.0],
+            };
+            for counts in [&mut fleet, cells.entry(server.entry.cell).or_default()] {
+                *counts = [counts[0] + parts[0], counts[1] + parts[1]];
+            }
+        }
+        let ratio = |[read, write]: [f64; 2]| write.max(1.0) / read.max(1.0);
+        for server in self.servers.values_mut() {
+            let [least, most] = if server.role == Role::Read { HOME_WEIGHTS } else { [1.0; 2] };
+            let near = cells.get(&server.entry.cell).copied().unwrap_or_default();
+            server.weight = (ratio(near) / ratio(fleet)).clamp(least, most);
+        }
     }
 
     /// Power of two choices: two writers at random. Exception: moving state far is slow and priced, so a
@@ -818,6 +830,7 @@
             }
             server.entry = entry;
         }
+        self.settle_weights();
     }
 
     fn take_report(&mut self, now: Duration, engine: EngineId, report: LoadReport) {
