State is let go of on a connection that stands, however slow new ones are to open

An abort call opened a connection, though one to that reader had stood; probes and attempts had used up and dropped those that stood.

Change: while a reader holds state, the last idle connection to it is kept back for the word to let go (pool); a word goes out on any connection that stands or falls idle before one is opened for it, one opens at most every 200 ms for all words to an engine, with 2 s to carry it, and a word on a connection that has answered before is not cut off (letgo).

--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -147,13 +147,15 @@
         self.transfer = Some((self.attempts[attempt].engine, transfer));
     }
 
-    /// An attempt's answer has begun: it has fetched the state, which its reader has let go with that.
-    pub(crate) fn has_begun(&mut self, attempt: usize) {
+    /// An attempt's answer has begun: it has fetched the state, which its reader has let go with that. Gives that
+    /// reader, once for each state.
+    pub(crate) fn has_begun(&mut self, attempt: usize) -> Option<EngineId> {
         self.begun = Some(attempt);
-        if let Some((reader, _)) = self.transfer.take() {
-            let read = self.attempts.iter().rposition(|a| a.read && a.engine == reader);
-            self.holders.retain(|&(engine, _, at)| (engine, Some(at)) != (reader, read));
-        }
+        let (reader, _) = self.transfer.take()?;
+        let read = self.attempts.iter().rposition(|a| a.read && a.engine == reader);
+        let before = self.holders.len();
+        self.holders.retain(|&(engine, _, at)| (engine, Some(at)) != (reader, read));
+        (self.holders.len() < before).then_some(reader)
     }
 
     /// All that may be held for it and that no attempt reads now: to be let go of.
@@ -165,11 +167,18 @@
         free.into_iter().map(|(engine, addr, at)| (engine, addr, self.attempt_name(at))).collect()
     }
 
-    /// An attempt that read nothing holds nothing.
-    pub(crate) fn holds_nothing(&mut self, attempt: usize, outcome: Outcome) {
-        if matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot) {
-            self.holders.retain(|&(_, _, at)| at != attempt);
+    /// The readers that still count as holders, once for each state.
+    pub(crate) fn holding(self) -> Vec<EngineId> {
+        self.holders.into_iter().map(|(engine, ..)| engine).collect()
+    }
+
+    /// An attempt that read nothing holds nothing. Gives its engine if it counted as a holder.
+    pub(crate) fn holds_nothing(&mut self, attempt: usize, outcome: Outcome) -> Option<EngineId> {
+        if !matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot) {
+            return None;
         }
+        let at = self.holders.iter().position(|&(_, _, at)| at == attempt)?;
+        Some(self.holders.swap_remove(at).0)
     }
 
     /// Nothing more can come of it.
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -1,10 +1,10 @@
 //! Carries out what the module decides: attempts, cancels, probes, aborts, timers. Decides nothing itself.
 
 use crate::call::Final;
-use crate::front::{Alarm, Decided, Front, LettingGo};
+use crate::front::{Alarm, Decided, Front};
 use crate::limits;
 use crate::link::{Link, State, Use};
-use crate::pool::Slot;
+use crate::pool::{Errand, Slot};
 use slipreel::{Action, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId};
 use slipreel_machine::{ConnId, Output};
 use slipreel_protocol::engine::{self, Load};
@@ -43,6 +43,9 @@
         let (attempt, bytes) = call.send(now, engine, addr, role, &via);
         self.tally.attempts += 1;
         let read = role == slipreel::Role::Read;
+        if read {
+            self.pool.holds(engine);
+        }
         let used_for = Use::Attempt { call: id.0, attempt, read };
         match self.exchange(engine, addr, used_for, bytes, out) {
             Some(conn) => {
@@ -71,8 +74,12 @@
     fn exchange(
         &mut self, engine: EngineId, addr: SocketAddr, used_for: Use, bytes: Vec<u8>, out: &mut Vec<Output>,
     ) -> Option<ConnId> {
-        let extra = !matches!(used_for, Use::Attempt { .. });
-        let conn = match self.pool.take(engine, self.site.bounds.per_engine, extra) {
+        let errand = match used_for {
+            Use::Attempt { .. } => Errand::Attempt,
+            Use::Probe => Errand::Probe,
+            Use::Abort(_) => Errand::Word,
+        };
+        let conn = match self.pool.take(engine, self.site.bounds.per_engine, errand) {
             Slot::Full => return None,
             Slot::Idle(conn) => {
                 let link = self.links.get_mut(&conn)?;
@@ -113,7 +120,8 @@
     pub(crate) fn carried_ended(&mut self, link: &Link, outcome: Outcome, out: &mut Vec<Output>) {
         match (link.state, link.used_for) {
             (State::Idle, _) => {}
-            (_, Use::Abort(n)) => self.not_let_go(n),
+            // It is said again when its time comes.
+            (_, Use::Abort(_)) => {}
             (_, Use::Probe) => self.probed(link.engine, outcome, LoadReport::default()),
             (_, Use::Attempt { call, attempt, .. }) => {
                 self.attempt_broke(RequestId(call), attempt, outcome, out);
@@ -124,38 +132,34 @@
     fn release(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         for (engine, addr, name) in call.release() {
-            self.next_conn += 1;
-            let n = self.next_conn;
-            self.letting_go.insert(n, LettingGo { engine, addr, name, told: 0 });
+            self.pool.freed(Some(engine));
+            let n = self.letting_go.add(engine, addr, name);
             self.let_go(n, out);
         }
     }
 
-    /// Tells an engine to let go of state.
+    /// Tells an engine to let go of state, and sees to it that it is told again until it has heard.
     pub(crate) fn let_go(&mut self, n: u64, out: &mut Vec<Output>) {
-        let Some(state) = self.letting_go.get_mut(&n) else { return };
-        state.told += 1;
-        let (engine, addr) = (state.engine, state.addr);
-        let (body, host) = (engine::abort_body(&state.name), addr.to_string());
-        let fields = [("host", host.as_str()), ("content-type", "application/json")];
-        let mut bytes = http::request_head("POST", "/abort_requests", &fields, Framing::Length(body.len()));
-        bytes.extend_from_slice(body.as_bytes());
-        if self.exchange(engine, addr, Use::Abort(n), bytes, out).is_none() {
-            self.not_let_go(n);
+        if self.say(n, out) {
+            self.wheel.set(self.now + limits::TELL_AGAIN, Alarm::LetGo(n));
         }
     }
 
-    /// An engine could not be told.
-    pub(crate) fn not_let_go(&mut self, n: u64) {
-        let Some(state) = self.letting_go.get(&n) else { return };
-        match limits::tell_again(state.told) {
-            Some(wait) => {
-                self.wheel.set(self.now + wait, Alarm::LetGo(n));
-            }
-            None => {
-                self.letting_go.remove(&n);
-            }
+    /// Says a word to let go on a connection that stands, else on a new one. False if it need not be said any more.
+    pub(crate) fn say(&mut self, n: u64, out: &mut Vec<Output>) -> bool {
+        let Some(word) = self.letting_go.tell(n, limits::TELL_TIMES) else { return false };
+        let stands = self.pool.has_idle(word.engine);
+        if !stands && !self.letting_go.may_open(word.engine, self.now, limits::TELL_AGAIN) {
+            return true;
+        }
+        let (body, host) = (engine::abort_body(&word.name), word.addr.to_string());
+        let fields = [("host", host.as_str()), ("content-type", "application/json")];
+        let mut bytes = http::request_head("POST", "/abort_requests", &fields, Framing::Length(body.len()));
+        bytes.extend_from_slice(body.as_bytes());
+        if self.exchange(word.engine, word.addr, Use::Abort(n), bytes, out).is_some() && stands {
+            self.letting_go.said(n);
         }
+        true
     }
 
     fn probe(&mut self, engine: EngineId, out: &mut Vec<Output>) {
@@ -190,7 +194,7 @@
         let Some(a) = call.attempts.get_mut(attempt).filter(|a| a.out) else { return };
         (a.out, a.conn) = (false, None);
         let latency = now.saturating_sub(a.sent);
-        call.holds_nothing(attempt, outcome);
+        self.pool.freed(call.holds_nothing(attempt, outcome));
         let ended = slipreel::Ended {
             request: id,
             attempt,
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -56,6 +56,12 @@
         match link.state {
             State::Connecting => self.drop_link(conn, out, Outcome::ConnectFailed),
             State::Busy => self.drop_link(conn, out, Outcome::TimedOut),
+            State::Idle if self.pool.keeps(link.engine) => {
+                if let Some(link) = self.links.get_mut(&conn) {
+                    link.since = self.now;
+                }
+                self.arm_link(conn);
+            }
             State::Idle => {
                 self.forget_link(conn);
                 out.push(Output::Finish(conn));
@@ -139,8 +145,8 @@
                     self.drop_link(conn, out, Outcome::Error);
                 }
                 (_, Use::Abort(n)) => {
+                    self.letting_go.heard(n);
                     self.exchange_over(conn, out);
-                    self.letting_go.remove(&n);
                 }
                 (_, Use::Probe) => {
                     self.exchange_over(conn, out);
@@ -162,12 +168,16 @@
         let Some(link) = self.links.get_mut(&conn) else { return };
         let engine = link.engine;
         (link.state, link.since) = (State::Idle, now);
+        link.opened_for_word = false;
         if std::mem::take(&mut link.paused) {
             out.push(Output::Resume(conn));
         }
         let reusable = link.reusable;
         if reusable && self.pool.put(engine, conn, most) {
             self.arm_link(conn);
+            if let Some(n) = self.letting_go.waits(engine) {
+                self.say(n, out);
+            }
         } else {
             self.forget_link(conn);
             out.push(Output::Finish(conn));
@@ -190,7 +200,8 @@
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return false };
         if call.begun.is_none() && Writer::begins(chunk) {
-            call.has_begun(attempt);
+            let taken = call.has_begun(attempt);
+            self.pool.freed(taken);
             let latency = now.saturating_sub(call.attempts[attempt].sent);
             let (generation, conn, stream, whole_by) =
                 (call.generation, call.attempts[attempt].conn, call.stream, call.whole_by);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 use crate::call::{Call, Final};
 use crate::client::{Client, State as ClientState};
 use crate::gauges::Asked;
+use crate::letgo::LetGo;
 use crate::limits;
 use crate::link::{Link, State as LinkState, Use};
 use crate::members::Members;
@@ -53,15 +54,6 @@
     StopBy,
 }
 
-/// State that an engine is to let go of.
-pub(crate) struct LettingGo {
-    pub(crate) engine: EngineId,
-    pub(crate) addr: std::net::SocketAddr,
-    /// What the engine knows it by.
-    pub(crate) name: String,
-    pub(crate) told: u32,
-}
-
 /// A router and the site that it was made from. After a reload the older one ends what it has taken.
 pub(crate) struct Brain {
     pub(crate) generation: u64,
@@ -90,7 +82,7 @@
     pub(crate) events: VecDeque<(Option<u64>, Event)>,
     pub(crate) reap: Vec<RequestId>,
     /// What engines have to be told to let go of, until they have heard it.
-    pub(crate) letting_go: BTreeMap<u64, LettingGo>,
+    pub(crate) letting_go: LetGo,
     /// Engine connections whose client has left.
     pub(crate) orphans: Vec<ConnId>,
     pub(crate) next_conn: u64,
@@ -121,7 +113,7 @@
             wheel: Wheel::default(),
             events: VecDeque::new(),
             reap: Vec::new(),
-            letting_go: BTreeMap::new(),
+            letting_go: LetGo::default(),
             orphans: Vec::new(),
             next_conn: 0,
             next_call: 0,
@@ -196,7 +188,8 @@
         }
         for id in std::mem::take(&mut self.reap) {
             if self.calls.get(&id).is_some_and(Call::is_done) {
-                self.calls.remove(&id);
+                let held = self.calls.remove(&id).map(|c| c.holding()).unwrap_or_default();
+                held.into_iter().for_each(|engine| self.pool.freed(Some(engine)));
             }
         }
         if self.brains.len() > 1 {
@@ -230,9 +223,11 @@
     fn link_due(&self, link: &Link) -> Option<Duration> {
         let bounds = &self.site.bounds;
         match (link.state, link.used_for) {
-            (LinkState::Connecting, _) => Some(link.since + self.site.settings.limits.connect_timeout),
             (LinkState::Idle, _) => Some(link.since + bounds.engine_idle),
-            (LinkState::Busy, Use::Probe | Use::Abort(_)) => Some(link.since + bounds.probe),
+            (_, Use::Abort(_)) if link.opened_for_word => Some(link.since + limits::LET_GO_CALL),
+            (_, Use::Abort(_)) => Some(link.since + limits::TELL_AGAIN * limits::TELL_TIMES),
+            (LinkState::Connecting, _) => Some(link.since + self.site.settings.limits.connect_timeout),
+            (LinkState::Busy, Use::Probe) => Some(link.since + bounds.probe),
             (LinkState::Busy, Use::Attempt { call, attempt, .. }) => {
                 let begun = self.calls.get(&RequestId(call)).is_some_and(|c| c.begun == Some(attempt));
                 (begun && !link.paused).then(|| link.since + bounds.silent_stream)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,7 +9,7 @@
 //! 4. `engines`: what the engines say becomes events for the module and, by `translate`, the answer;
 //! 5. `serve`: the one final answer is written.
 //!
-//! `verdict` says what an engine's refusal proves, `limits` is what the front itself bounds, `members` the list of engines, `wheel` the timers, `site` the settings.
+//! `letgo` is what readers have to be told to let go of, `verdict` says what an engine's refusal proves, `limits` is what the front itself bounds, `members` the list of engines, `wheel` the timers, `site` the settings.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -21,6 +21,7 @@
 mod engines;
 mod front;
 mod gauges;
+mod letgo;
 mod limits;
 mod link;
 mod members;
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -1,8 +1,8 @@
 //! A connection to an engine: the client side of HTTP, one exchange at a time, and what its bytes mean.
 //!
 //! States and their time-outs: `Connecting` (the module's connect time), `Busy` (the exchange's own: the module's
-//! patience for attempts, `probe` for probes and aborts, `silent_stream` once an answer has begun), `Idle`
-//! (`engine_idle`).
+//! patience for attempts, `probe` for probes, `silent_stream` once an answer has begun), `Idle` (`engine_idle`). An
+//! abort call has `limits::LET_GO_CALL` for both connecting and its answer.
 
 use crate::limits::LONGEST_BODY;
 use crate::verdict::{self, Verdict};
@@ -81,6 +81,8 @@
     held: Vec<u8>,
     /// The exchange is over and the connection can be used again.
     pub(crate) reusable: bool,
+    /// It was opened to say a word to let go, and has not answered yet.
+    pub(crate) opened_for_word: bool,
 }
 
 impl Link {
@@ -102,6 +104,7 @@
             body: Body::None,
             held: Vec::new(),
             reusable: false,
+            opened_for_word: matches!(used_for, Use::Abort(_)),
         }
     }
 
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -343,3 +343,23 @@
     host.pass(ms(1_000));
     assert_eq!(connects(&host.out), [], "it has been heard");
 }
+
+/// While a reader holds state, a connection to it that stands is kept for the word to let go, which need not wait
+/// until a new one has come to stand.
+#[test]
+fn a_connection_that_stands_is_kept_for_letting_go() {
+    let mut host = Host::new(site());
+    host.ask(&post(BODY));
+    let read = r#"{"kv_transfer_params":{"x":1},"usage":{"prompt_tokens":9}}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{read}", read.len());
+    let (reader, _) = connects(&host.out)[0];
+    host.tell(Input::Connected(reader));
+    host.tell(Input::Data(reader, answer.as_bytes()));
+    // Another request is read at the same engine meanwhile, on a connection of its own that does not come to stand.
+    let other = ConnId(77);
+    host.tell(Input::Accepted(other));
+    let out = host.tell(Input::Data(other, post(BODY).as_bytes()));
+    assert_eq!(connects(&out).iter().filter(|(_, port)| *port == 1).count(), 1, "{out:?}");
+    let out = host.tell(Input::Lost(CLIENT, Loss::Reset));
+    assert!(text(&out, reader).starts_with("POST /abort_requests "), "{out:?}");
+}
