Whole answers survive a writer's loss: nothing has gone out, so the class decides

Cause: a writer killed under load ended requests of a safe class with 500 though their clients had seen nothing: the answer was whole, not streamed, and the first token ended the request for the module.

Change: a request says how long its client waits for a whole answer (Request::whole). Its first token then does not end it: if the write breaks, the module goes on as for any lost attempt, by class, attempts and the time left; an answer that is being written is neither cancelled nor cut at the first-token deadline. Of a broken whole answer no state is expected at the reader. The front drops what it had written and begins anew.

--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -158,6 +158,12 @@
         (self.holders.len() < before).then_some(reader)
     }
 
+    /// Its answer broke before any of it went out: what came of it is dropped.
+    pub(crate) fn begins_anew(&mut self) {
+        self.begun = None;
+        self.writer.begins_anew();
+    }
+
     /// All that may be held for it and that no attempt reads now: to be let go of.
     pub(crate) fn release(&mut self) -> Vec<(EngineId, SocketAddr, String)> {
         self.transfer = None;
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -243,6 +243,13 @@
             self.serve_whole(id, out);
             return self.ended(id, attempt, Outcome::Ok, 0.0, None);
         }
+        if !call.stream {
+            // Nothing of it has gone out: the module settles whether another attempt follows.
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.begins_anew();
+            }
+            return self.ended(id, attempt, outcome, 0.0, None);
+        }
         let fault = match outcome {
             Outcome::TimedOut => Fault::new(ErrorKind::Timeout, "the answer stopped coming"),
             _ => Fault::new(ErrorKind::Api, "the answer broke off"),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -205,6 +205,7 @@
             prompt_tokens: traits.prompt_tokens,
             max_output_tokens: f64::from(ask.max_tokens),
             time_left: traits.time_left,
+            whole: (!ask.stream).then(|| traits.told.unwrap_or(traits.time_left)),
             repeat: traits.repeat,
         };
         self.tell(generation, Event::Request(request));
@@ -393,7 +394,10 @@
         let conn = call.begun.and_then(|a| call.attempts[a].conn);
         let fault =
             Fault::new(ErrorKind::Timeout, "the answer was not whole in the time that this request has");
+        let generation = call.generation;
         self.answer_fault(id, &fault, None, Final::Failed, out);
+        // To the module its client is as good as gone: no attempt follows, and what is held is let go of.
+        self.tell(generation, Event::ClientGone(id));
         if let Some(conn) = conn {
             self.drop_link(conn, out, Outcome::Cancelled);
         }
--- a/crates/front/src/translate.rs
+++ b/crates/front/src/translate.rs
@@ -5,6 +5,7 @@
 
 /// Writes one message from chunks.
 pub(crate) struct Writer {
+    name: (String, String, bool),
     answer: Answer,
     usage: Usage,
     /// Chunks with output: the count of tokens where the engine tells none.
@@ -16,8 +17,16 @@
 
 impl Writer {
     pub(crate) fn new(id: String, model: String, stream: bool) -> Self {
+        let name = (id.clone(), model.clone(), stream);
         let answer = Answer::new(id, model, stream);
-        Writer { answer, usage: Usage::default(), counted: 0, told: false, finish: None, tool: None }
+        Writer { name, answer, usage: Usage::default(), counted: 0, told: false, finish: None, tool: None }
+    }
+
+    /// Drops what was written; the count of the prompt stays.
+    pub(crate) fn begins_anew(&mut self) {
+        let (id, model, stream) = self.name.clone();
+        let prompt = Usage { output_tokens: 0, ..self.usage };
+        *self = Writer { usage: prompt, ..Writer::new(id, model, stream) };
     }
 
     /// The prompt was counted by who read it.
--- a/src/bin/slipreel-adapter/wire.rs
+++ b/src/bin/slipreel-adapter/wire.rs
@@ -298,6 +298,7 @@
         prompt_tokens,
         max_output_tokens,
         time_left,
+        whole: None,
         repeat,
     }))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,9 @@
     pub max_output_tokens: f64,
     /// How long until the client gives up.
     pub time_left: Duration,
+    /// For an answer of which nothing goes out before it is whole: how long until the client gives up on that.
+    /// `None` if it streams, or if its class tells no first token.
+    pub whole: Option<Duration>,
     /// Whether the client says that it has asked before.
     pub repeat: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 //!         prompt_tokens: 900.0,
 //!         max_output_tokens: 200.0,
 //!         time_left: ms(4000),
+//!         whole: None,
 //!         repeat: false,
 //!     }),
 //!     &mut actions,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -131,6 +131,8 @@
 struct Job {
     request: Request,
     deadline: Duration,
+    /// The deadline from when its answer has begun, where nothing of it goes out before it is whole.
+    whole_by: Option<Duration>,
     attempts: Vec<Attempt>,
     /// The reader that holds the state, and since when no attempt has wanted it.
     held: Option<(EngineId, Duration)>,
@@ -247,8 +249,10 @@
         let saturation = self.stage(now, Role::Read).max(self.stage(now, Role::Write));
         let chance = refusal_chance(saturation, droppable);
         let refused = self.hopeless(&request) || self.chance() < chance;
-        let deadline = now + request.time_left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
-        let job = Job { request, deadline, over_share, ..Job::default() };
+        let until =
+            |left: Duration| now + left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
+        let (deadline, whole_by) = (until(request.time_left), request.whole.map(until));
+        let job = Job { request, deadline, whole_by, over_share, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
             self.ask_anyone(now, out);
@@ -576,7 +580,9 @@
         let Some(job) = self.jobs.get_mut(&which.0) else { return };
         let Some(a) = job.attempts.get_mut(which.1).filter(|a| a.out && a.begun.is_none()) else { return };
         a.begun = Some(latency);
-        (job.ended, job.held) = (true, None);
+        // Of a whole answer nothing has gone out yet: if its writer is lost, its class says what may follow.
+        (job.ended, job.held) = (job.whole_by.is_none(), None);
+        job.deadline = job.deadline.max(job.whole_by.unwrap_or_default());
         // The first token frees what else is held, but that word can be lost on a cut link.
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
@@ -601,6 +607,7 @@
         job.held = match outcome {
             Outcome::Read => Some((engine, now)),
             Outcome::Ok | Outcome::Full { no_state: true } => None,
+            _ if begun.is_some() => None,
             // The state still waits unless it was fetched: asking another writer for it tells. With two
             // attempts left that would leave too few, and the reader has kept the text: it is read again.
             Outcome::Error | Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if left == 2 => None,
@@ -657,7 +664,7 @@
     /// unsafe write is awaited. Harm: a long queue or a stall costs the work twice.
     fn on_check(&mut self, id: RequestId, attempt: usize, out: Out) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
-        let Some(a) = job.attempts.get(attempt).filter(|a| a.out) else { return };
+        let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
         let repeatable = a.read || self.effect(job) == Effect::Safe;
         if repeatable && self.settings.limits.attempts > job.attempts.len() && self.settings.limits.cancel {
             out.push(Action::Cancel { request: id, attempt });
@@ -701,10 +708,21 @@
         }
     }
 
+    /// Its time is up, or has become longer; a whole answer that is being written ends by its host's own bound.
+    fn on_deadline(&mut self, now: Duration, id: RequestId, out: Out) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if now < job.deadline {
+            return self.alarm(Alarm::Deadline(id), job.deadline - now, out);
+        }
+        if !job.attempts.iter().any(|a| a.out && a.begun.is_some()) {
+            self.end(id, Some(Action::Fail(id)), out);
+        }
+    }
+
     fn on_timer(&mut self, now: Duration, timer: TimerId, out: Out) {
         let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| !j.ended);
         match self.alarms.remove(&timer) {
-            Some(Alarm::Deadline(id)) if open(&id) => self.end(id, Some(Action::Fail(id)), out),
+            Some(Alarm::Deadline(id)) if open(&id) => self.on_deadline(now, id, out),
             Some(Alarm::Check(id, attempt)) => self.on_check(id, attempt, out),
             Some(Alarm::Parked(id)) => {
                 let due = |job: &&mut Job| job.parked.is_some_and(|until| now >= until);
