--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -33,10 +33,10 @@
         }
     }
 
-    /// The target without its query.
+    /// The target's path without its query.
     pub(crate) fn path(&self) -> &str {
         match &self.head.start {
-            Start::Request { target, .. } => target.split(['?', '#']).next().unwrap_or(target),
+            Start::Request { target, .. } => http::path_of(target).unwrap_or(target),
             Start::Response { .. } => "",
         }
     }
--- a/crates/front/src/letgo.rs
+++ b/crates/front/src/letgo.rs
@@ -124,7 +124,9 @@
     #[test]
     fn few_connections_are_opened_for_many_words() {
         let (mut all, addr, engine) = (LetGo::default(), SocketAddr::from(([127, 0, 0, 1], 1)), EngineId(4));
-        (0..100).for_each(|n| drop(all.add(engine, addr, n.to_string())));
+        for n in 0..100 {
+            all.add(engine, addr, n.to_string());
+        }
         let ms = Duration::from_millis;
         let may = |all: &mut LetGo, at| (0..100).filter(|_| all.may_open(engine, ms(at), ms(200))).count();
         assert_eq!([0, 100, 199, 200, 350, 400].map(|at| may(&mut all, at)), [1, 0, 0, 1, 0, 1]);
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 messages in and out (RFC 9110, RFC 9112), incrementally and without I/O.
 //!
-//! A [`Decoder`] holds one direction of one connection. It is strict: bare LF, folded lines, space before
-//! a colon, two framings, chunk extensions and the like are errors, as each has been used to smuggle requests.
+//! A [`Decoder`] holds one direction of one connection. It is strict: bare CR or LF, folded lines, space before
+//! a colon, two framings and the like are errors, as each has been used to smuggle requests. First bytes that can't
+//! begin a message are an error at once. Chunk extensions are skipped, bounded and without a bare CR or LF in them.
 
 use std::fmt::{self, Write as _};
 
@@ -16,6 +17,11 @@
     pub body: u64,
 }
 
+/// Bytes of a chunk size with its extensions; all extensions of a body together are bounded like a head.
+const CHUNK_LINE: usize = 256;
+/// Bytes of a method: over those of any that is registered.
+const METHOD: usize = 32;
+
 impl Default for Limits {
     /// 16 KiB of head, 100 fields, 32 MiB of body: what common servers take.
     fn default() -> Self {
@@ -284,11 +290,20 @@
     }
 
     fn chunk_size(&mut self) -> Result<Option<Item>, Malformed> {
-        let Some(line) = self.line(18, 400, "a chunk size")? else { return Ok(None) };
-        let plain = !line.is_empty() && line.len() <= 8 && line.bytes().all(|b| b.is_ascii_hexdigit());
-        let Some(size) = u64::from_str_radix(&line, 16).ok().filter(|_| plain) else {
-            return bad(400, format!("chunk size {line:?}: expected 1 to 8 hex digits and no extension"));
+        let Some(line) = self.line(CHUNK_LINE, 400, "a chunk size")? else { return Ok(None) };
+        let digits = line.bytes().take_while(u8::is_ascii_hexdigit).count();
+        let (size, extensions) = line.split_at(digits);
+        let Some(size) = u64::from_str_radix(size, 16).ok().filter(|_| digits <= 8) else {
+            return bad(400, format!("chunk size {line:?}: expected 1 to 8 hex digits"));
         };
+        if !are_extensions(extensions) {
+            return bad(400, format!("chunk size {line:?}: expected extensions as ;name=value"));
+        }
+        // They have a bound of their own over all chunks: they carry nothing, and cost as much as a body.
+        self.trailer += extensions.len();
+        if self.trailer > self.limits.head {
+            return bad(400, "too many chunk extensions");
+        }
         if size == 0 {
             self.state = State::Trailer;
             return self.trailer();
@@ -324,6 +339,9 @@
             return bad(431, format!("a head over {} bytes", self.limits.head));
         }
         let Some(end) = found else {
+            if !may_begin(self.side, &self.buf[self.at..]) {
+                return bad(400, "first bytes that begin no message of HTTP/1.1");
+            }
             self.searched = self.buf.len();
             return Ok(None);
         };
@@ -392,9 +410,92 @@
     }
 }
 
+/// Whether bytes may be the beginning of a message.
+fn may_begin(side: Side, bytes: &[u8]) -> bool {
+    // The empty line that may come before, of which the end is still to come.
+    if bytes == b"\r" {
+        return true;
+    }
+    match side {
+        Side::Client => bytes.iter().zip(b"HTTP/1.").all(|(a, b)| a == b),
+        Side::Server => {
+            let method = bytes.iter().position(|&b| b == b' ').unwrap_or(bytes.len());
+            method <= METHOD
+                && (method > 0 || bytes.is_empty())
+                && bytes[..method].iter().all(|&b| is_token_byte(b))
+        }
+    }
+}
+
+/// Whether this is a run of chunk extensions (RFC 9112, 7.1.1): `;name`, `;name=token` or `;name="quoted"`, with blanks
+/// around `;` and `=`. No blank may follow the last.
+fn are_extensions(text: &str) -> bool {
+    let blanks = |t: &mut &str| *t = t.trim_start_matches([' ', '\t']);
+    let token = |t: &mut &str| {
+        let n = t.bytes().take_while(|&b| is_token_byte(b)).count();
+        *t = &t[n..];
+        n > 0
+    };
+    let mut rest = text;
+    while !rest.is_empty() {
+        blanks(&mut rest);
+        let Some(after) = rest.strip_prefix(';') else { return false };
+        rest = after;
+        blanks(&mut rest);
+        if !token(&mut rest) {
+            return false;
+        }
+        let mut ahead = rest;
+        blanks(&mut ahead);
+        let Some(value) = ahead.strip_prefix('=') else { continue };
+        rest = value;
+        blanks(&mut rest);
+        if let Some(quoted) = rest.strip_prefix('"') {
+            let Some(after) = after_quoted(quoted) else { return false };
+            rest = after;
+        } else if !token(&mut rest) {
+            return false;
+        }
+    }
+    true
+}
+
+/// What follows a quoted string whose opening quote is taken.
+fn after_quoted(text: &str) -> Option<&str> {
+    let mut escaped = false;
+    for (at, b) in text.bytes().enumerate() {
+        match b {
+            _ if (b < 0x20 && b != b'\t') || b == 0x7f => return None,
+            _ if std::mem::take(&mut escaped) => {}
+            b'\\' => escaped = true,
+            b'"' => return Some(&text[at + 1..]),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// The path of a request target, without its query: of one in origin form, or in absolute form, which a server has to
+/// take (RFC 9112, 3.2.2). `None` for the other forms.
+pub fn path_of(target: &str) -> Option<&str> {
+    let path = if target.starts_with('/') { target } else { after_authority(target)? };
+    Some(path.split(['?', '#']).next().filter(|p| !p.is_empty()).unwrap_or("/"))
+}
+
+/// What follows scheme and authority of a target in absolute form.
+fn after_authority(target: &str) -> Option<&str> {
+    let (scheme, rest) = target.split_once("://")?;
+    let known = scheme.eq_ignore_ascii_case("http") || scheme.eq_ignore_ascii_case("https");
+    let end = rest.find(['/', '?', '#']).unwrap_or(rest.len());
+    (known && end > 0).then(|| &rest[end..])
+}
+
+fn is_token_byte(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
+}
+
 fn is_token(text: &str) -> bool {
-    let ok = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-    !text.is_empty() && text.bytes().all(ok)
+    !text.is_empty() && text.bytes().all(is_token_byte)
 }
 
 fn parse_start(side: Side, line: &str) -> Result<(Start, bool), Malformed> {
@@ -408,7 +509,9 @@
     match (side, &words[..]) {
         (Side::Server, [method, target, v]) => {
             let printable = target.bytes().all(|b| b.is_ascii_graphic());
-            if !is_token(method) || target.is_empty() || !printable {
+            let form =
+                path_of(target).is_some() || (*method == "OPTIONS" && *target == "*") || *method == "CONNECT";
+            if !is_token(method) || !form || !printable {
                 return bad(400, "expected METHOD SP target SP HTTP/1.1");
             }
             Ok((Start::Request { method: (*method).into(), target: (*target).into() }, version(v)?))
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -26,6 +26,22 @@
     assert_eq!(at(0.34), 1.0);
 }
 
+/// A real engine's published share of memory ends at 1: full memory alone refuses one in six, whatever lies behind it.
+#[test]
+fn memory_that_is_full_everywhere_refuses_one_in_six() {
+    let s = settings(Effect::Safe);
+    let one = |seed| {
+        let mut host = Host::new(s.clone(), seed, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        for id in [1, 2] {
+            let report = LoadReport { memory_share: Some(1.0), queued: Some(0.0), ..LoadReport::default() };
+            host.tell(Event::Probed { engine: EngineId(id), outcome: Outcome::Ok, report });
+        }
+        refused(&host.ask(request(1, 1)))
+    };
+    let share = (0..2_000).filter(|&seed| one(seed)).count() as f64 / 2_000.0;
+    assert!((0.14..0.19).contains(&share), "{share}");
+}
+
 #[test]
 fn protected_requests_pass_until_all_droppable_are_refused() {
     let s = settings(Effect::Safe);
