--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -56,6 +56,7 @@
     router: Router,
     now: Duration,
     spent: Duration,
+    events: u64,
     hash: u64,
     load: f64,
 }
@@ -77,6 +78,7 @@
         let from = Instant::now();
         self.router.handle(self.now, event, &mut out);
         self.spent += from.elapsed();
+        self.events += 1;
         let said = format!("{out:?}");
         self.hash = xxh3_64_with_seed(said.as_bytes(), self.hash);
         out
@@ -125,16 +127,18 @@
     }
 }
 
-fn run(n: u64, load: f64) -> (Duration, u64) {
+/// Time and events a request, and the hash.
+fn run(n: u64, load: f64) -> (Duration, f64, u64) {
     let router = Router::new(settings(), 7);
-    let mut bench = Bench { router, now: Duration::from_secs(1000), spent: Duration::ZERO, hash: 0, load };
+    let mut bench =
+        Bench { router, now: Duration::from_secs(1000), spent: Duration::ZERO, events: 0, hash: 0, load };
     bench.tell(Event::Engines { listing: Listing::Complete, engines: engines(n) });
     for id in 0..n {
         let engine = EngineId(id * 7919);
         let report = bench.report(engine);
         bench.tell(Event::Probed { engine, outcome: Outcome::Ok, report });
     }
-    bench.spent = Duration::ZERO;
+    (bench.spent, bench.events) = (Duration::ZERO, 0);
     for id in 0..REQUESTS {
         bench.now += Duration::from_micros(500);
         bench.play(Event::Request(Request {
@@ -148,19 +152,20 @@
             ..Request::default()
         }));
     }
-    (bench.spent / REQUESTS as u32, bench.hash)
+    (bench.spent / REQUESTS as u32, bench.events as f64 / REQUESTS as f64, bench.hash)
 }
 
 fn main() {
     for load in [0.0, 30.0] {
         let mut small = None;
         for n in [10, 50, 200, 1_000, 5_000] {
-            let (spent, hash) = run(n, load);
+            let (spent, events, hash) = run(n, load);
+            let each = spent.as_secs_f64() / events;
             if n == 50 {
-                small = Some(spent);
+                small = Some((spent.as_secs_f64(), each));
             }
-            let ratio = small.map_or(1.0, |s| spent.as_secs_f64() / s.as_secs_f64());
-            println!("queues to {load:>2} {n:>6} engines {spent:>12.1?} a request, {ratio:>7.2} of 50, {hash:016x}");
+            let (whole, one) = small.map_or((1.0, 1.0), |(w, e)| (spent.as_secs_f64() / w, each / e));
+            println!("queues to {load:>2} {n:>6} engines {spent:>12.1?} a request, {whole:>6.2} of 50; {events:>5.1} events, {one:>5.2} of 50 each; {hash:016x}");
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod fleet;
 mod interface;
 mod rules;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,10 +5,12 @@
 //! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
 //! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
 
+use crate::fleet::{shared, Counted, Fleet, Placed, Rest, Shelf, Standing};
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -89,8 +91,6 @@
 struct Server {
     entry: Engine,
     role: Role,
-    /// Its weight as a home, by the list.
-    weight: f64,
     report: Option<(Duration, LoadReport)>,
     /// Own prompt tokens sent since the report and still waiting.
     since: f64,
@@ -115,6 +115,14 @@
     askers: Vec<RequestId>,
 }
 
+/// Which engines an attempt may go to, by their shelves in `fleet`.
+#[derive(Clone, Copy)]
+enum Reach {
+    Read,
+    ReadAndWrite,
+    Write,
+}
+
 struct Attempt {
     engine: EngineId,
     sent: Duration,
@@ -187,6 +195,8 @@
     unread: f64,
     means: [Means; 3],
     logged: Option<Duration>,
+    /// Bookkeeping, so that no decision walks all engines.
+    fleet: Fleet,
 }
 
 impl Router {
@@ -211,6 +221,7 @@
             unread: 1.0,
             means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
             logged: None,
+            fleet: Fleet::default(),
             settings,
         }
     }
@@ -243,6 +254,7 @@
         if self.jobs.contains_key(&id) || request.class.0 >= self.settings.classes.len() {
             return out.push(Action::Fail(id));
         }
+        self.settle(now);
         self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
         let over_share = self.over_share(now, &request);
         let droppable = self.droppable(over_share, &request);
@@ -297,10 +309,18 @@
     /// Mean saturation of a stage's ready engines; one not heard of lately takes the mean. Exception to the
     /// post: of the two stages the fuller one counts, as idle engines of the other would hide it.
     fn stage(&self, now: Duration, role: Role) -> f64 {
-        let does = |s: &&Server| s.ready() && (s.role == role || s.role == Role::Both || role == Role::Both);
-        let loads = self.servers.values().filter(does).filter_map(|s| self.load(now, s));
-        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
-        sum / f64::max(count, 1.0)
+        let (mut sum, mut count) = (0.0, 0);
+        for does in [Role::Read, Role::Write, Role::Both] {
+            if does == role || does == Role::Both || role == Role::Both {
+                let to_read = if does == Role::Read { self.unread } else { 1.0 };
+                let queued = self.mean_prompt * to_read / WAITING_THRESHOLD;
+                let weights = [queued, queued * self.usual(does) / WAITING_PRIOR];
+                let (fixed, known, moving) = self.fleet.sums(does as usize, weights);
+                let loads = moving.iter().filter_map(|id| self.load(now, self.servers.get(id)?));
+                (sum, count) = (sum + fixed + loads.sum::<f64>(), count + known + moving.len());
+            }
+        }
+        sum / f64::max(count as f64, 1.0)
     }
 
     /// Saturation of one engine, if it is known.
@@ -320,9 +340,8 @@
         }
         let to_read = if server.role == Role::Read { self.unread } else { 1.0 };
         // In-flight counts hold running answers too: only the part of its time that an attempt waits counts.
-        let Means { waited, whole, .. } = self.means[server.role as usize];
-        let usual = WAITING_PRIOR * waited / whole.max(f64::EPSILON);
-        let part = (server.waiting.max(0.0) + usual) / (server.out.max(0.0) + WAITING_PRIOR);
+        let part =
+            (server.waiting.max(0.0) + self.usual(server.role)) / (server.out.max(0.0) + WAITING_PRIOR);
         let counted = || report.queued.or(report.in_flight.map(|n| n * part));
         let waiting = match report.waiting_tokens {
             Some(tokens) => tokens + server.since,
@@ -332,6 +351,12 @@
         Some((waiting / WAITING_THRESHOLD, memory))
     }
 
+    /// How many of the attempts that its estimate starts from wait.
+    fn usual(&self, role: Role) -> f64 {
+        let Means { waited, whole, .. } = self.means[role as usize];
+        WAITING_PRIOR * waited / whole.max(f64::EPSILON)
+    }
+
     // ---- 2. Read, 3. Write ------------------------------------------------------------------
 
     /// Takes the next step of a request that has no attempt out: writes a held state, else reads.
@@ -341,6 +366,8 @@
             return;
         }
         let left = self.settings.limits.attempts.saturating_sub(job.attempts.len());
+        self.settle(now);
+        let Some(job) = self.jobs.get(&id) else { return };
         let unsafe_now = job.may_have_run.is_some() && self.effect(job) == Effect::Unsafe;
         if left == 0 || unsafe_now || now >= job.deadline {
             return self.give_up(id, out);
@@ -368,26 +395,21 @@
     /// order of the session; others only as spill from a hot beginning. A mixed engine needs one
     /// attempt for both stages; after a reader another is needed for the write.
     fn readers(&mut self, now: Duration, id: RequestId, left: usize) -> (Vec<EngineId>, Vec<EngineId>) {
+        let reach = if left >= 2 { Reach::Read } else { Reach::ReadAndWrite };
+        let (_, gone) = self.pool(now, id, reach);
         let Some(job) = self.jobs.get(&id) else { return Default::default() };
-        let (session, writers_read) = (job.request.session, self.settings.writers_read);
+        let session = job.request.session;
         let key = job.request.shared_prefix.unwrap_or(session);
-        let mut homes = self.pool(now, job, |s| match s.role {
-            Role::Read => left >= 2,
-            role => role == Role::Both || writers_read,
-        });
-        homes.sort_by_cached_key(|id| {
-            let hash = (xxh3_64_with_seed(&id.0.to_le_bytes(), key) >> 11) as f64 / (1u64 << 53) as f64;
-            (-hash.ln() / self.servers[id].weight).to_bits()
-        });
-        let mut others = homes.split_off(homes.len().min(2));
-        homes.sort_by_key(|id| xxh3_64_with_seed(&id.0.to_le_bytes(), session));
-        others.truncate(2);
+        let hash = |id: EngineId, key| xxh3_64_with_seed(&id.0.to_le_bytes(), key);
+        let mut homes = self.fleet.first(reach as usize, key, 4, &gone, |id| hash(id, key) >> 11);
+        let others = homes.split_off(homes.len().min(2));
+        homes.sort_by_key(|&id| hash(id, session));
         (homes, others)
     }
 
-    /// A reader is home in proportion to the writers of its cell, in bounds: state that finds none goes far.
-    /// Settled when the list changes, as nothing else moves it.
-    fn settle_weights(&mut self) {
+    /// Puts the ready engines on their shelves. A reader is home in proportion to the writers of its cell, in
+    /// bounds: state that finds none goes far. Settled when the list changes, as nothing else moves it.
+    fn shelve(&mut self) {
         let mut fleet = [0.0; 2];
         let mut cells: BTreeMap<CellId, [f64; 2]> = BTreeMap::new();
         for server in self.servers.values().filter(|s| s.ready()) {
@@ -401,34 +423,87 @@
             }
         }
         let ratio = |[read, write]: [f64; 2]| write.max(1.0) / read.max(1.0);
-        for server in self.servers.values_mut() {
+        self.fleet.place(self.servers.iter().map(|(&id, server)| {
+            let Engine { cell, zone, .. } = server.entry;
+            let (role, ready) = (server.role as usize, server.ready());
             let [least, most] = if server.role == Role::Read { HOME_WEIGHTS } else { [1.0; 2] };
-            let near = cells.get(&server.entry.cell).copied().unwrap_or_default();
-            server.weight = (ratio(near) / ratio(fleet)).clamp(least, most);
+            let near = cells.get(&cell).copied().unwrap_or_default();
+            let weight = (ratio(near) / ratio(fleet)).clamp(least, most);
+            let alone = server.role == Role::Both || server.role == Role::Write && self.settings.writers_read;
+            let reaches = [alone || server.role == Role::Read, alone, server.role != Role::Read];
+            Placed { id, role, ready, weight, cell, zone, reaches }
+        }));
+    }
+
+    /// Brings the bookkeeping up to date: lists, what has happened to engines, what has run out.
+    fn settle(&mut self, now: Duration) {
+        if self.fleet.take_moved() {
+            self.shelve();
         }
+        while let Some(id) = self.fleet.next(now) {
+            if let Some(server) = self.servers.get(&id) {
+                let standing = self.standing(now, server);
+                self.fleet.count(id, standing);
+            }
+        }
+    }
+
+    fn standing(&self, now: Duration, server: &Server) -> Standing {
+        let report = server.report.as_ref();
+        let told = report.filter(|_| self.settings.reports != ReportSource::None).map(|(_, r)| r);
+        let counted = match (self.load(now, server).filter(|_| server.ready()), told) {
+            (None, _) => Counted::Unknown,
+            // Counts of requests weigh by means over all engines, which move without news of any.
+            (Some(_), Some(r)) if r.waiting_tokens.is_none() => {
+                let least = r.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
+                let (idle, kind) =
+                    (server.out <= 0.0 && server.waiting <= 0.0, usize::from(r.queued.is_none()));
+                match r.queued.or(r.in_flight).unwrap_or(0.0) {
+                    count if server.since != 0.0 || kind == 1 && !idle && count != 0.0 => Counted::Moves,
+                    count if count > 0.0 && least >= 0.0 => Counted::Weighs { kind, count, least },
+                    _ => Counted::Fixed(least.max(0.0)),
+                }
+            }
+            (Some(load), _) => Counted::Fixed(load),
+        };
+        let old = server.ready() && !server.unreachable() && !server.probing && !server.fresh(now);
+        let odd = server.rests(now) || server.unreachable() || self.is_cold(now, server);
+        let stale = report.map_or(server.heard, |(at, _)| *at) + FRESH;
+        let dead = report.map(|(at, _)| *at + REPORT_LIFE + Duration::from_nanos(1));
+        let due = [Some(stale), dead].into_iter().flatten().filter(|&at| at > now).min();
+        Standing { role: server.role as usize, counted, old, odd, due }
     }
 
     /// Power of two choices: two writers at random. Exception: moving state far is slow and priced, so a
     /// pair of the reader's cell (else its zone) comes first, others only as spill.
     fn writers(&mut self, now: Duration, id: RequestId) -> (Vec<EngineId>, Vec<EngineId>) {
-        let Some(job) = self.jobs.get(&id) else { return Default::default() };
-        let reader = job.held.and_then(|(reader, _)| self.servers.get(&reader));
-        let (cell, zone) = reader.map(|s| (s.entry.cell, s.entry.zone)).unzip();
-        let pool = self.pool(now, job, |s| s.role != Role::Read);
-        let distance = |id: &EngineId| {
-            let entry = &self.servers[id].entry;
-            u8::from(Some(entry.cell) != cell) + u8::from(Some(entry.zone) != zone)
-        };
-        let nearest = pool.iter().map(distance).min();
-        let (near, far) = pool.into_iter().partition(|id| Some(distance(id)) == nearest);
-        (self.two_of(near), self.two_of(far))
+        let (shelf, gone) = self.pool(now, id, Reach::Write);
+        let reader = self.jobs.get(&id).and_then(|job| self.servers.get(&job.held?.0));
+        let place = reader.map(|s| (s.entry.cell, s.entry.zone));
+        let here = place.map(|(cell, zone)| shelf.here(cell, zone)).unwrap_or_default();
+        let around = place.map(|(cell, zone)| shelf.around(cell, zone)).unwrap_or_default();
+        for near in [&here[..], &around] {
+            let (missing, beyond) = shared(near, &gone);
+            if missing.len() == near.len() {
+                continue;
+            }
+            let (pair, other) =
+                (Rest::new(near.len(), [&missing, &[]]), Rest::new(shelf.len(), [near, &beyond]));
+            let pair =
+                self.two_of(pair.len()).into_iter().map(|k| shelf.id(near[pair.nth(k)] as usize)).collect();
+            let other = self.two_of(other.len()).into_iter().map(|k| shelf.id(other.nth(k))).collect();
+            return (pair, other);
+        }
+        let all = Rest::new(shelf.len(), [&gone, &[]]);
+        (self.two_of(all.len()).into_iter().map(|k| shelf.id(all.nth(k))).collect(), Vec::new())
     }
 
-    fn two_of(&mut self, mut pool: Vec<EngineId>) -> Vec<EngineId> {
+    /// Two numbers below `n` at random: as if the last took the place of the first drawn.
+    fn two_of(&mut self, n: usize) -> Vec<usize> {
         let mut pair = Vec::new();
-        while pair.len() < 2 && !pool.is_empty() {
-            let at = (self.chance() * pool.len() as f64) as usize;
-            pair.push(pool.swap_remove(at));
+        for left in [n, n.saturating_sub(1)].into_iter().filter(|&left| left > 0) {
+            let at = (self.chance() * left as f64) as usize;
+            pair.push(if pair.first() == Some(&at) { n - 1 } else { at });
         }
         pair
     }
@@ -458,9 +533,10 @@
 
     /// A refused request asks too, as a router that refuses all would hear nothing any more.
     fn ask_anyone(&mut self, now: Duration, out: Out) {
-        let old = |s: &&Server| s.ready() && !s.unreachable() && !s.probing && !s.fresh(now);
-        let pool = self.servers.values().filter(old).map(|s| s.entry.id).collect();
-        self.two_of(pool).into_iter().for_each(|engine| self.probe(engine, out));
+        self.settle(now);
+        let pair = self.two_of(self.fleet.old());
+        let pair: Vec<EngineId> = pair.into_iter().map(|k| self.fleet.nth_old(k)).collect();
+        pair.into_iter().for_each(|engine| self.probe(engine, out));
     }
 
     /// The preferred engine that bears least by its report (else its stage's mean) and our own tokens, unless
@@ -486,23 +562,41 @@
     /// The usable engines for this request's next attempt. Those it has tried, and those that just
     /// were full, are passed over while there are others. Under the panic threshold the unreachable
     /// ones are usable again: connections that fail at most engines are slow, not dead.
-    fn pool(&self, now: Duration, job: &Job, role: impl Fn(&Server) -> bool) -> Vec<EngineId> {
-        let warm = |s: &&Server| !self.is_cold(now, s) || s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
-        let all: Vec<&Server> =
-            self.servers.values().filter(|s| s.ready() && role(s) && self.may_send(now, job, s)).collect();
-        let mut pool: Vec<&Server> = all.iter().filter(|s| !s.unreachable()).copied().collect();
-        if (pool.len() as f64) < PANIC_SHARE * all.len() as f64 {
-            pool = all;
-        }
-        pool.retain(warm);
-        let fresh = |s: &&Server| {
-            !job.attempts.iter().any(|a| a.engine == s.entry.id && !a.done)
-                && s.rests.get(job.request.class.0).is_none_or(|&until| now >= until)
-        };
-        if pool.iter().any(&fresh) {
-            pool.retain(|s| fresh(s));
+    /// Given as the shelf of all within reach and, in order, the places on it that are not usable.
+    fn pool(&mut self, now: Duration, id: RequestId, reach: Reach) -> (Arc<Shelf>, Vec<u32>) {
+        let shelf = self.fleet.shelf(reach as usize);
+        let mut odd = std::mem::take(&mut self.fleet.odd);
+        let is_odd = |s: &Server| s.rests(now) || s.unreachable() || self.is_cold(now, s);
+        odd.retain(|id| self.servers.get(id).is_some_and(is_odd));
+        self.fleet.odd = odd;
+        let Some(job) = self.jobs.get(&id) else { return (shelf, Vec::new()) };
+        let server = |at: u32| self.servers.get(&shelf.id(at as usize));
+        let barred = |&at: &u32| !server(at).is_some_and(|s| self.may_send(now, job, s));
+        let bound = matches!(self.effect(job), Effect::Keyed { .. }) && job.may_have_run.is_some();
+        let mut gone: Vec<u32> =
+            if bound { (0..shelf.len() as u32).filter(barred).collect() } else { vec![] };
+        let tried = |id: EngineId| job.attempts.iter().any(|a| a.engine == id && !a.done);
+        let unusual = self.fleet.odd.iter().copied().chain(job.attempts.iter().map(|a| a.engine));
+        let mut unusual: Vec<u32> = unusual.filter_map(|id| shelf.position(id)).collect();
+        unusual.sort_unstable();
+        unusual.dedup();
+        unusual.retain(|at| gone.binary_search(at).is_err());
+        let (all, lost) = (shelf.len() - gone.len(), |&at: &u32| server(at).is_some_and(Server::unreachable));
+        let reachable = all - unusual.iter().filter(|&at| lost(at)).count();
+        let panics = (reachable as f64) < PANIC_SHARE * all as f64;
+        let warm = |s: &Server| !self.is_cold(now, s) || s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
+        let out = |at: &u32| !panics && lost(at) || !server(*at).is_some_and(warm);
+        let (unusable, rest): (Vec<u32>, Vec<u32>) = unusual.into_iter().partition(out);
+        gone.extend(unusable);
+        let class = job.request.class.0;
+        let rests = |s: &Server| s.rests.get(class).is_some_and(|&until| now < until);
+        let worn = |at: &u32| tried(shelf.id(*at as usize)) || server(*at).is_some_and(rests);
+        let worn: Vec<u32> = rest.into_iter().filter(worn).collect();
+        if gone.len() + worn.len() < shelf.len() {
+            gone.extend(worn);
         }
-        pool.iter().map(|s| s.entry.id).collect()
+        gone.sort_unstable();
+        (shelf, gone)
     }
 
     /// A keyed request that may have run goes only to engines that drop its repeats, while they remember it.
@@ -530,6 +624,7 @@
         let cold_rate = cold.map(|s| self.cold_rate(now, s));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(server) = self.servers.get_mut(&engine) else { return };
+        self.fleet.touch(engine);
         let prompt = job.request.prompt_tokens;
         let read = server.role == Role::Read;
         let tokens = if read { prompt } else { prompt + job.request.max_output_tokens };
@@ -579,6 +674,7 @@
     fn on_first(&mut self, now: Duration, which: (RequestId, usize), latency: Duration, out: Out) {
         let Some(job) = self.jobs.get_mut(&which.0) else { return };
         let Some(a) = job.attempts.get_mut(which.1).filter(|a| a.out && a.begun.is_none()) else { return };
+        self.fleet.touch(a.engine);
         a.begun = Some(latency);
         // Of a whole answer nothing has gone out yet: if its writer is lost, its class says what may follow.
         (job.ended, job.held) = (job.whole_by.is_none(), None);
@@ -594,6 +690,7 @@
         let Ended { request: id, outcome, latency, .. } = ended;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(ended.attempt).filter(|a| a.out) else { return };
+        self.fleet.touch(a.engine);
         // One that found no state to fetch is not at fault: with the state read again it is as good as any.
         let blameless = outcome == Outcome::Full { no_state: true };
         (a.out, a.done) = (false, blameless || a.read && matches!(outcome, Outcome::Read | Outcome::Reset));
@@ -708,7 +805,7 @@
         }
     }
 
-    /// Its time is up, or has become longer; a whole answer that is being written ends by its host's own bound.
+    /// Its time is up, or longer by now; a whole answer that is being written ends by its host's bound.
     fn on_deadline(&mut self, now: Duration, id: RequestId, out: Out) {
         let Some(job) = self.jobs.get(&id) else { return };
         if now < job.deadline {
@@ -751,6 +848,7 @@
         let lack = self.chance() * self.mean_prompt;
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
+        self.fleet.touch(engine);
         if server.unreachable() {
             (server.ejected, server.returned) = (None, Some(now));
             (server.bucket, server.bucket_at) = (-lack, now);
@@ -779,6 +877,7 @@
         let length = (EJECT_BASE * (1 << server.doublings)).mul_f64(jitter);
         server.doublings = (server.doublings + 1).min(EJECT_DOUBLINGS);
         server.ejected = Some(now + length);
+        self.fleet.touch(engine);
         self.alarm(Alarm::Trial(engine), length, out);
         self.log(now, format!("engine {:x} ejected for {} ms: {why}", engine.0, length.as_millis()), out);
     }
@@ -803,8 +902,9 @@
     }
 
     fn note_borne(&mut self, now: Duration, role: Role, prompt: f64) {
-        let warm = |s: &&Server| s.role == role && s.ready() && !self.is_cold(now, s);
-        let warm = self.servers.values().filter(warm).count().max(1) as f64;
+        let cold = |s: &&Server| s.role == role && s.ready() && self.is_cold(now, s);
+        let cold = self.fleet.odd.iter().filter_map(|id| self.servers.get(id)).filter(cold).count();
+        let warm = self.fleet.ready(role as usize).saturating_sub(cold).max(1) as f64;
         let means = &mut self.means[role as usize];
         let age = now.saturating_sub(means.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64();
         means.rate = means.rate * (-age).exp() + prompt / RATE_SPAN.as_secs_f64();
@@ -827,12 +927,14 @@
             out.push(Action::WatchEngines(true));
         }
         if listing != Listing::Changes {
-            let named: Vec<EngineId> = engines.iter().map(|e| e.id).collect();
+            let named: BTreeSet<EngineId> = engines.iter().map(|e| e.id).collect();
+            let before = self.servers.len();
             self.servers.retain(|id, _| named.contains(id));
+            self.fleet.list_moved(self.servers.len() != before);
         }
         for entry in engines {
             if entry.state == EngineState::Gone {
-                self.servers.remove(&entry.id);
+                self.fleet.list_moved(self.servers.remove(&entry.id).is_some());
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
@@ -840,15 +942,18 @@
             let (heard, bucket, bucket_at) = (now, -lack, now);
             let fresh =
                 || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
+            let place = |s: &Server| (s.role as usize, s.entry.state, s.entry.zone, s.entry.cell);
+            let before = self.servers.get(&entry.id).map(place);
             let server = self.servers.entry(entry.id).or_insert_with(fresh);
             if server.entry.started != entry.started {
                 // A restart: what was known of the engine is void, what is out there is not.
                 let Server { tokens, out, waiting, .. } = *server;
                 *server = Server { tokens, out, waiting, ..fresh() };
             }
+            self.fleet.touch(entry.id);
             server.entry = entry;
+            self.fleet.list_moved(before != Some(place(server)));
         }
-        self.settle_weights();
     }
 
     fn take_report(&mut self, now: Duration, engine: EngineId, report: LoadReport) {
@@ -862,6 +967,7 @@
     fn on_probed(&mut self, now: Duration, engine: EngineId, outcome: Outcome, report: LoadReport, out: Out) {
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.probing = false;
+        self.fleet.touch(engine);
         let askers = std::mem::take(&mut server.askers);
         if outcome == Outcome::Ok {
             self.reached(now, engine);
@@ -885,6 +991,7 @@
         let allowed = self.settings.limits.probes;
         if let Some(server) = self.servers.get_mut(&engine).filter(|s| allowed && !s.probing) {
             server.probing = true;
+            self.fleet.touch(engine);
             out.push(Action::Probe(engine));
         }
     }
@@ -938,6 +1045,11 @@
         now.saturating_sub(self.report.as_ref().map_or(self.heard, |(at, _)| *at)) < FRESH
     }
 
+    /// Whether it is passed over for any class.
+    fn rests(&self, now: Duration) -> bool {
+        self.rests.iter().any(|&until| now < until)
+    }
+
     fn unreachable(&self) -> bool {
         self.ejected.is_some()
     }
