--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -369,14 +369,15 @@
     }
 }
 
-/// A sum from which terms can be taken back without a trace: fixed point, with 40 bits after it.
+/// A sum from which terms can be taken back without a trace: fixed point, with 80 bits after it, so that terms from
+/// 2^-27 on are exact and a sum differs from one of floats only where that one rounds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Sum {
     total: i128,
     pub(crate) count: usize,
 }
 
-const ONE: f64 = (1u64 << 40) as f64;
+const ONE: f64 = (1u128 << 80) as f64;
 
 impl Sum {
     pub(crate) fn add(&mut self, term: f64) {
