Metrics by prometheus-client, with histograms, on a port of the operators

Need: metrics were hand-written text without HELP, histograms or reasons, and anyone who could reach the clients' port could read them.

Change: counters, gauges and histograms of prometheus-client (OpenMetrics 1.0): final answers, refusals by reason, attempts by stage and outcome, time to first token, the time that no engine was at work in, engines by role and state, what is open. Machines are told by which of their listeners a peer came (Door); the front's second door is the operators', a thread each from the configured port on. The conductor reads there.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -146,8 +146,8 @@
             println!("engine {} {:?} {} {} {addr}", plan.spec.name, plan.spec.role, plan.zone, plan.cell);
         }
     }
-    let ready =
-        serde_json::json!({"url": format!("http://{}", fleet.targets[0]), "key": key, "models": models});
+    let ready = serde_json::json!({"url": format!("http://{}", fleet.targets[0]), "key": key, "models": models,
+                           "operators": format!("http://{}", fleet.operators[0])});
     println!("ready {ready}");
     let _ = std::io::stdout().flush();
     while !signals.stopped() {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -103,6 +103,10 @@
         looped.on_log(move |_, line| tracing::info!(router = n, "{line}"));
         let node = looped.add(Front::new(Arc::new(site), random_seed(), clock.now(), wall));
         looped.listen(node, daemon.listen).map_err(|e| Failure::Run(e.to_string()))?;
+        if let Some(first) = daemon.operators {
+            let own = std::net::SocketAddr::new(first.ip(), first.port() + n as u16);
+            looped.listen(node, own).map_err(|e| Failure::Run(e.to_string()))?;
+        }
         handles.push(looped.handle());
         let thread = std::thread::Builder::new().name(format!("router-{n}")).spawn(move || {
             if let Err(why) = looped.run() {
@@ -124,9 +128,9 @@
             return;
         }
     };
-    if (new.listen, new.threads) != (daemon.listen, daemon.threads) || new.engines_file != daemon.engines_file
-    {
-        tracing::warn!("listen, threads and engines of [router] change with a restart only");
+    let fixed = |d: &Daemon| (d.listen, d.operators, d.threads);
+    if fixed(&new) != fixed(daemon) || new.engines_file != daemon.engines_file {
+        tracing::warn!("listen, operators, threads and engines of [router] change with a restart only");
     }
     if new.engines_file.is_some() {
         new.site.engines.clone_from(&daemon.site.engines);
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -454,13 +454,14 @@
     for (e, addr) in addrs.iter().enumerate() {
         world.add(director.engine(e, START, true), &[*addr]);
     }
+    let operators: Vec<SocketAddr> = (0..day.routers).map(|r| addr(15_000 + r)).collect();
     for (r, addr) in targets.iter().enumerate() {
-        world.add(director.router(r, START), &[*addr]);
+        world.add(director.router(r, START), &[*addr, operators[r]]);
     }
     let clients =
         world.add(Actor::Clients(Box::new(clients(day, targets.clone(), ledger.clone(), start))), &[]);
     let conductor =
-        director.conductor(START, &targets).map(|c| world.add(Actor::Conductor(Box::new(c)), &[]));
+        director.conductor(START, &operators).map(|c| world.add(Actor::Conductor(Box::new(c)), &[]));
     let mut stage = InMemory { world, engines: addrs.len(), clients };
     director.run(&mut stage, start);
     let world = stage.world;
@@ -502,6 +503,8 @@
     log: Arc<std::sync::Mutex<Vec<String>>>,
     /// Where clients connect.
     pub targets: Vec<SocketAddr>,
+    /// Where each router publishes its metrics.
+    pub operators: Vec<SocketAddr>,
     /// The engines' addresses, in the order of the day.
     pub engine_addrs: Vec<SocketAddr>,
     ledger: Ledger,
@@ -548,7 +551,8 @@
         for (e, node) in engine_nodes.iter().enumerate() {
             *engines.machine_mut(*node) = director.engine(e, now, true);
         }
-        let (mut routers, mut targets, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut routers, mut threads) = (Vec::new(), Vec::new());
+        let (mut targets, mut operators) = (Vec::new(), Vec::new());
         let engines_handle = engines.handle();
         threads.push(spawn(engines, "engines").map_err(text)?);
         for r in 0..day.routers {
@@ -556,6 +560,7 @@
             let node = looped.add(director.router(r, now));
             let addr = listen.filter(|_| r == 0).unwrap_or(any);
             targets.push(looped.listen(node, addr).map_err(|e| e.to_string())?);
+            operators.push(looped.listen(node, any).map_err(|e| e.to_string())?);
             routers.push(looped.handle());
             threads.push(spawn(looped, "router").map_err(text)?);
         }
@@ -568,6 +573,7 @@
             clients: None,
             log,
             targets,
+            operators,
             engine_addrs: addrs,
             ledger,
         })
@@ -641,7 +647,7 @@
     let handle = looped.handle();
     fleet.clients = Some(spawn(looped, "clients").map_err(|e| e.to_string())?);
     let mut director = Director::new(day, fleet.engine_addrs.clone(), ledger.clone(), start);
-    let conductor = match director.conductor(began, &fleet.targets) {
+    let conductor = match director.conductor(began, &fleet.operators) {
         None => None,
         Some(conductor) => {
             let mut looped = Loop::new(fleet.clock).map_err(|e| e.to_string())?;
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -43,6 +43,10 @@
     pub(crate) class: usize,
     pub(crate) effect: Effect,
     pub(crate) stream: bool,
+    /// When it had come in whole.
+    pub(crate) since: Duration,
+    /// For how long engines were at work for it, up to the end of its last ended attempt.
+    worked: Duration,
     /// When its client gives up waiting for the beginning.
     pub(crate) deadline: Duration,
     /// When its client gives up waiting for a whole answer, if it says so.
@@ -90,6 +94,8 @@
             class: new.class,
             effect: new.effect,
             stream: new.stream,
+            since: new.now,
+            worked: Duration::ZERO,
             deadline: new.now.saturating_add(new.time_left),
             whole_by: new.whole_within.map(|within| new.now.saturating_add(within)),
             chat: new.chat,
@@ -158,6 +164,17 @@
         (self.holders.len() < before).then_some(reader)
     }
 
+    /// An attempt has ended after this time.
+    pub(crate) fn worked(&mut self, latency: Duration) {
+        self.worked += latency;
+    }
+
+    /// For how long engines were at work for it: in attempts that ended, and in those that are out.
+    pub(crate) fn at_engines(&self, now: Duration) -> Duration {
+        let out = self.attempts.iter().filter(|a| a.out).map(|a| now.saturating_sub(a.sent));
+        self.worked + out.sum::<Duration>()
+    }
+
     /// Its answer broke before any of it went out: what came of it is dropped.
     pub(crate) fn begins_anew(&mut self) {
         self.begun = None;
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -168,6 +168,7 @@
         };
         let bytes = http::request_head("GET", "/metrics", &[("host", &addr.to_string())], Framing::Length(0));
         self.tally.probes += 1;
+        self.gauges.probe();
         if self.exchange(engine, addr, Use::Probe, bytes, out).is_none() {
             self.probed(engine, Outcome::Moot, LoadReport::default());
         }
@@ -194,6 +195,8 @@
         let Some(a) = call.attempts.get_mut(attempt).filter(|a| a.out) else { return };
         (a.out, a.conn) = (false, None);
         let latency = now.saturating_sub(a.sent);
+        self.gauges.attempt(a.read, outcome);
+        call.worked(latency);
         self.pool.freed(call.holds_nothing(attempt, outcome));
         let ended = slipreel::Ended {
             request: id,
@@ -221,6 +224,8 @@
         if let Some(call) = self.calls.get_mut(&id) {
             call.over = true;
             self.reap.push(id);
+            let class = call.class;
+            self.gauges.ended(self.class_name(class), end);
             self.count(end);
         }
     }
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,7 +3,7 @@
 //! States and their time-outs: `Idle` (`client_idle`), `Receiving` head and body (`receive` each), `Serving` (the
 //! request's own deadlines), `Closing`. Pipelined requests wait in the decoder until the one before is answered.
 
-use slipreel_machine::{ConnId, Output};
+use slipreel_machine::{ConnId, Door, Output};
 use slipreel_protocol::http::{self, Decoder, Framing, Head, Item, Limits, Malformed, Side, Start};
 use std::time::Duration;
 
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Client {
     pub(crate) conn: ConnId,
+    /// Where it came in.
+    pub(crate) door: Door,
     pub(crate) state: State,
     decoder: Decoder,
     head: Option<Head>,
@@ -65,9 +67,10 @@
 }
 
 impl Client {
-    pub(crate) fn new(conn: ConnId, now: Duration, limits: Limits, most_ahead: usize) -> Self {
+    pub(crate) fn new(conn: ConnId, door: Door, now: Duration, limits: Limits, most_ahead: usize) -> Self {
         Client {
             conn,
+            door,
             state: State::Idle,
             decoder: Decoder::new(Side::Server, limits),
             head: None,
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -111,11 +111,9 @@
                     let id = RequestId(call);
                     if let Some(call) = self.calls.get_mut(&id) {
                         call.has_read(attempt, transfer, usage);
-                        let (class, tokens) =
-                            (call.class, usage.prompt_tokens.saturating_sub(usage.cached_tokens()));
-                        self.count_class(class, |c| {
-                            (c.reads, c.read_tokens) = (c.reads + 1, c.read_tokens + tokens)
-                        });
+                        let tokens = usage.prompt_tokens.saturating_sub(usage.cached_tokens());
+                        let class = call.class;
+                        self.gauges.read(self.class_name(class), tokens);
                     }
                     self.ended(id, attempt, Outcome::Read, usage.cached_tokens() as f64, load);
                 }
@@ -201,6 +199,8 @@
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return false };
         if call.begun.is_none() && Writer::begins(chunk) {
             let taken = call.has_begun(attempt);
+            let name = self.site.classes.get(call.class).map_or("", |c| &c.name);
+            self.gauges.first_token(name, now, call);
             self.pool.freed(taken);
             let latency = now.saturating_sub(call.attempts[attempt].sent);
             let (generation, conn, stream, whole_by) =
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{Call, Final};
 use crate::client::{Client, State as ClientState};
-use crate::gauges::Asked;
+use crate::gauges::{Gauges, Now};
 use crate::letgo::LetGo;
 use crate::limits;
 use crate::link::{Link, State as LinkState, Use};
@@ -90,8 +90,8 @@
     pub(crate) stopping: bool,
     stopped: bool,
     pub(crate) tally: Tally,
-    /// By class name: what was asked. Names outlive reloads.
-    pub(crate) asked: BTreeMap<String, Asked>,
+    /// By class name, as names outlive reloads.
+    pub(crate) gauges: Gauges,
 }
 
 impl Front {
@@ -120,7 +120,7 @@
             stopping: false,
             stopped: false,
             tally: Tally::default(),
-            asked: BTreeMap::new(),
+            gauges: Gauges::default(),
             site: site.clone(),
         };
         front.add_brain(site.clone());
@@ -361,10 +361,32 @@
         }
     }
 
-    /// Counts something of a class.
-    pub(crate) fn count_class(&mut self, class: usize, count: impl FnOnce(&mut Asked)) {
-        if let Some(class) = self.site.classes.get(class) {
-            count(self.asked.entry(class.name.clone()).or_default());
+    /// The name of a class, for what is published.
+    pub(crate) fn class_name(&self, class: usize) -> &str {
+        self.site.classes.get(class).map_or("", |c| &c.name)
+    }
+
+    /// What stands now, for what is published.
+    pub(crate) fn stands(&self) -> Now {
+        let engine = |(_, m): (_, &crate::members::Member)| {
+            let role = match m.site.role {
+                slipreel::Role::Read => "read",
+                slipreel::Role::Write => "write",
+                slipreel::Role::Both => "both",
+            };
+            let state = match m.site.state {
+                slipreel::EngineState::Ready => "ready",
+                slipreel::EngineState::Draining => "draining",
+                slipreel::EngineState::Gone => "gone",
+            };
+            (role, state)
+        };
+        Now {
+            engines: self.members.iter().map(engine).collect(),
+            clients: self.clients.len(),
+            links: self.links.len(),
+            under_way: self.calls.len(),
+            letting_go: self.letting_go.len(),
         }
     }
 
@@ -391,13 +413,13 @@
         // What is due comes before what has just come in, whatever order the driver found them in.
         self.run_timers(out);
         match input {
-            Input::Accepted(conn) => {
+            Input::Accepted(conn, door) => {
                 let limits =
                     slipreel_protocol::http::Limits { body: self.site.bounds.body, ..Default::default() };
                 if self.stopping || self.clients.len() >= self.site.bounds.connections {
                     out.push(Output::Abort(conn));
                 } else {
-                    self.clients.insert(conn, Client::new(conn, self.now, limits, limits::PIPELINED));
+                    self.clients.insert(conn, Client::new(conn, door, self.now, limits, limits::PIPELINED));
                     self.arm_client(conn);
                 }
             }
--- a/crates/front/src/letgo.rs
+++ b/crates/front/src/letgo.rs
@@ -74,6 +74,11 @@
         self.tidy(word.engine);
     }
 
+    /// How many words have not been heard.
+    pub(crate) fn len(&self) -> usize {
+        self.words.len()
+    }
+
     /// The oldest word for an engine, to be said on a connection that has just fallen idle.
     pub(crate) fn waits(&self, engine: EngineId) -> Option<u64> {
         let unsaid = |n: &&u64| self.words.get(n).is_some_and(|w| !w.said);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,15 +4,18 @@
 use crate::classify;
 use crate::client::{Received, State};
 use crate::front::Front;
-use crate::gauges;
+use crate::gauges::{self, Why};
 use crate::limits::{self, Turned};
 use serde_json::json;
 use slipreel::{Event, Outcome, RequestId};
-use slipreel_machine::{ConnId, Output};
+use slipreel_machine::{ConnId, Door, Output};
 use slipreel_protocol::http::{self, Malformed};
 use slipreel_protocol::messages::{Ask, ErrorKind, Fault};
 use std::time::Duration;
 
+/// The door of operators; clients come by the first.
+const OPERATORS: Door = Door(1);
+
 impl Front {
     // ---- In ---------------------------------------------------------------------------------
 
@@ -54,6 +57,7 @@
     ) {
         let request_id = self.request_id();
         self.tally.turned += 1;
+        self.gauges.turned();
         let body = fault.body(&request_id);
         let mut all = vec![("request-id", request_id.as_str())];
         all.extend_from_slice(fields);
@@ -89,6 +93,9 @@
 
     fn route(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) {
         let (method, path) = (received.method(), received.path());
+        if self.clients.get(&conn).is_some_and(|c| c.door == OPERATORS) {
+            return self.operate(conn, method, path, out);
+        }
         let answered = match (method, path) {
             ("POST", "/v1/messages") => self.ask(conn, received, out),
             ("POST", "/v1/messages/count_tokens") => self.count_tokens(conn, received, out),
@@ -101,15 +108,7 @@
                 self.answer(conn, status, &[], json!({"status": word}).to_string().as_bytes(), out);
                 Ok(())
             }
-            ("GET", "/metrics") => {
-                let classes: Vec<_> =
-                    self.asked.iter().map(|(name, asked)| (name.as_str(), *asked)).collect();
-                let text = gauges::write(&self.tally, &classes);
-                let fields = [("content-type", "text/plain; version=0.0.4")];
-                self.answer(conn, 200, &fields, text.as_bytes(), out);
-                Ok(())
-            }
-            (_, "/v1/messages" | "/v1/messages/count_tokens" | "/v1/models" | "/health" | "/metrics") => {
+            (_, "/v1/messages" | "/v1/messages/count_tokens" | "/v1/models" | "/health") => {
                 let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
                 self.turn(conn, 405, &fault, &[], out);
                 Ok(())
@@ -121,6 +120,24 @@
         }
     }
 
+    /// What operators ask, on a port of their own.
+    fn operate(&mut self, conn: ConnId, method: &str, path: &str, out: &mut Vec<Output>) {
+        match (method, path) {
+            ("GET", "/metrics") => {
+                let text = self.gauges.write(&self.stands());
+                self.answer(conn, 200, &[("content-type", gauges::MEDIA_TYPE)], text.as_bytes(), out);
+            }
+            (_, "/metrics") => {
+                let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
+                self.turn(conn, 405, &fault, &[], out);
+            }
+            _ => {
+                let fault = Fault::new(ErrorKind::NotFound, format!("no such path for operators: {path}"));
+                self.turn(conn, 404, &fault, &[], out);
+            }
+        }
+    }
+
     fn models(
         &mut self, conn: ConnId, received: &Received, one: Option<&str>, out: &mut Vec<Output>,
     ) -> Result<(), Fault> {
@@ -161,11 +178,12 @@
         let model = std::mem::replace(&mut ask.model, traits.served_as.clone());
         let chat = ask.to_chat()?;
         if let Err(turned) = limits::may_take(&self.site.bounds, self.calls.len(), self.stopping) {
-            let why = match turned {
-                Turned::Requests => "too many requests are under way",
-                Turned::Stopping => "this router is stopping",
+            let (why, text) = match turned {
+                Turned::Requests => (Why::Bound, "too many requests are under way"),
+                Turned::Stopping => (Why::Stopping, "this router is stopping"),
             };
-            let fault = Fault::new(ErrorKind::Overloaded, why);
+            self.gauges.refused(self.class_name(traits.class.0), why);
+            let fault = Fault::new(ErrorKind::Overloaded, text);
             let (s, ms) = retry_after(limits::COME_BACK);
             let fields = [("retry-after", s.as_str()), ("retry-after-ms", &ms), ("x-should-retry", "true")];
             self.turn(conn, fault.kind.status(), &fault, &fields, out);
@@ -195,7 +213,7 @@
         };
         self.calls.insert(id, Call::new(new));
         self.tally.taken += 1;
-        self.count_class(traits.class.0, |c| c.asked += 1);
+        self.gauges.asked(self.class_name(traits.class.0));
         let request = slipreel::Request {
             id,
             class: traits.class,
@@ -238,6 +256,7 @@
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.over) else { return };
         call.over = true;
         self.tally.left += 1;
+        self.gauges.left();
         let (generation, begun) = (call.generation, call.begun);
         let conn = begun.and_then(|a| call.attempts[a].conn);
         self.reap.push(id);
@@ -313,7 +332,7 @@
         let mut bytes = Vec::new();
         call.writer.finish(&mut bytes);
         let (class, tokens) = (call.class, call.writer.used().output_tokens);
-        self.count_class(class, |c| (c.answers, c.answer_tokens) = (c.answers + 1, c.answer_tokens + tokens));
+        self.gauges.answered(self.class_name(class), tokens);
         self.final_of(id, Final::Served);
         if stream {
             if let Some(client) = self.clients.get_mut(&conn) {
@@ -373,6 +392,14 @@
         } else {
             Fault::new(ErrorKind::Overloaded, "Overloaded")
         };
+        if let Some(call) = self.calls.get(&id).filter(|c| !c.over) {
+            let why = match call.attempts.is_empty() {
+                false => Why::Attempts,
+                true if over_share => Why::OverShare,
+                true => Why::Door,
+            };
+            self.gauges.refused(self.class_name(call.class), why);
+        }
         self.answer_fault(id, &fault, come_back, Final::Refused, out);
     }
 
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -30,6 +30,10 @@
     }
 }
 
+/// One of a machine's listeners: its place in the order in which they were opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Door(pub usize);
+
 /// Why a connection is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
@@ -45,7 +49,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Input<'a> {
     /// A peer has connected to one of the machine's listeners.
-    Accepted(ConnId),
+    Accepted(ConnId, Door),
     /// An [`Output::Connect`] has succeeded.
     Connected(ConnId),
     /// Bytes have come in.
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -7,7 +7,7 @@
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
-use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use slipreel_machine::{ConnId, Door, Input, Loss, Machine, Output};
 use std::any::Any;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -97,6 +97,7 @@
 struct Listener {
     fd: OwnedFd,
     node: usize,
+    door: Door,
     /// Out of descriptors: not asked until then.
     resting: Option<Duration>,
 }
@@ -228,7 +229,8 @@
         let bound = SocketAddr::try_from(bound).map_err(system)?;
         let slot = self.slot();
         epoll::add(&self.epoll, &fd, token(slot, self.uses[slot]), EventFlags::IN).map_err(system)?;
-        self.slots[slot] = Slot::Listener(Listener { fd, node: node.0, resting: None });
+        let door = Door(self.nodes[node.0].listeners.len());
+        self.slots[slot] = Slot::Listener(Listener { fd, node: node.0, door, resting: None });
         self.doors.push(slot);
         self.nodes[node.0].listeners.push(bound);
         Ok(bound)
@@ -399,7 +401,7 @@
     fn accept(&mut self, slot: usize) {
         for _ in 0..64 {
             let Slot::Listener(listener) = &mut self.slots[slot] else { return };
-            let node = listener.node;
+            let (node, door) = (listener.node, listener.door);
             if self.nodes[node].frozen {
                 // The kernel takes connections for a process that does not run; nobody takes them up.
                 listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
@@ -418,7 +420,7 @@
                     n.accepted += 1;
                     let id = ConnId(n.accepted);
                     self.insert(Conn::new(fd, node, id, Phase::Open));
-                    self.give(node, Input::Accepted(id));
+                    self.give(node, Input::Accepted(id, door));
                 }
                 Err(Errno::AGAIN) => return,
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -331,7 +331,7 @@
                 self.stopped = true;
                 out.push(Output::Stopped);
             }
-            Input::Accepted(_) | Input::Sent(..) | Input::Wake | Input::Stop => {}
+            Input::Accepted(..) | Input::Sent(..) | Input::Wake | Input::Stop => {}
         }
         if self.stopped {
             return;
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -42,6 +42,8 @@
     pub site: Site,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators connect, for metrics: the first front's; the next ones take the ports after it.
+    pub operators: Option<SocketAddr>,
     /// How many fronts run, each a router of its own on a thread of its own.
     pub threads: usize,
     /// A file in the EndpointSlice JSON format with the list of engines, if it comes from there.
@@ -77,7 +79,20 @@
         Some(at) if serves => doc.need::<Loopback>(at, "listen"),
         at => Some(doc.or(at, "listen", any)),
     };
+    let operators = router.and_then(|at| doc.get::<Loopback>(at, "operators")).map(|a| a.0);
     let threads = at_least_one(doc, router, "threads", 1);
+    if let (Some(at), Some(first)) = (router, operators) {
+        let last = usize::from(first.port()) + threads - 1;
+        let taken = listen.as_ref().is_some_and(|l| {
+            l.0.ip() == first.ip() && (usize::from(first.port())..=last).contains(&usize::from(l.0.port()))
+        });
+        if last > usize::from(u16::MAX) || taken {
+            let why = format!(
+                "{first}: expected {threads} free ports from here on, one a thread, without that of listen"
+            );
+            doc.say(at, "operators", why);
+        }
+    }
     let others = doc.or(router, "routers", threads as u32);
     if let Some(at) = router.filter(|_| (others as usize) < threads) {
         doc.say(
@@ -113,7 +128,7 @@
     {
         doc.say(at, "level", format!("{log_level:?}: expected trace, debug, info, warn or error"));
     }
-    Some(Daemon { site, listen: listen?.0, threads, engines_file, log_format, log_level })
+    Some(Daemon { site, listen: listen?.0, operators, threads, engines_file, log_format, log_level })
 }
 
 fn at_least_one(doc: &mut Doc, at: Option<usize>, key: &str, default: usize) -> usize {
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -42,6 +42,11 @@
         "listen = 0.0.0.0:8080",
         "[router] listen: \"0.0.0.0:8080\": expected a loopback address",
     );
+    one(
+        "operators = 127.0.0.1:9180",
+        "operators = 127.0.0.1:8080",
+        "[router] operators: 127.0.0.1:8080: expected 1 free ports from here on",
+    );
     one("address = 127.0.0.1:9001", "address = 10.0.0.1:9001", "expected a loopback address");
     one("address = 127.0.0.1:9002", "address = 127.0.0.1:9001", "[engine reader-1] has this address already");
     one("effect = keyed", "effect = maybe", "\"maybe\": expected safe, keyed or unsafe");
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -673,7 +673,7 @@
         // What is due comes first, whatever the driver found first: who asks for the load is told of it as it is now.
         self.turn(now, out);
         match input {
-            Input::Accepted(id) => {
+            Input::Accepted(id, _) => {
                 if self.fallen {
                     out.push(Output::Abort(id));
                     return;
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -6,7 +6,7 @@
 
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
+use slipreel_machine::{ConnId, Door, Input, Loss, Machine, Output};
 use std::any::Any;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -64,6 +64,8 @@
     /// `flows[i]` leads to `ends[i]`.
     flows: [Flow; 2],
     connected: bool,
+    /// By which listener it came.
+    door: Door,
 }
 
 enum Event {
@@ -320,6 +322,7 @@
         };
         if let Some(l) = self.links.get_mut(&link) {
             l.ends[1].node = node;
+            l.door = Door(self.nodes[node].addrs.iter().position(|a| *a == addr).unwrap_or(0));
         }
         let at = self.now + self.delay();
         self.plan(at, Event::Connected(link));
@@ -332,13 +335,13 @@
 
     fn accept(&mut self, link: u64) {
         let Some(l) = self.links.get_mut(&link) else { return };
-        let node = l.ends[1].node;
+        let (node, door) = (l.ends[1].node, l.door);
         let n = &mut self.nodes[node];
         n.accepted += 1;
         let id = ConnId(n.accepted);
         l.ends[1] = End { node, id, open: true };
         n.by_id.insert(id, (link, 1));
-        self.give(node, Input::Accepted(id));
+        self.give(node, Input::Accepted(id, door));
         self.deliver(link, 1);
     }
 
@@ -457,8 +460,10 @@
                 self.next_link += 1;
                 let link = self.next_link;
                 let (from, to) = (End { node, id, open: true }, End { node: 0, id: ConnId(0), open: false });
-                self.links
-                    .insert(link, Link { ends: [from, to], flows: Default::default(), connected: false });
+                self.links.insert(
+                    link,
+                    Link { ends: [from, to], flows: Default::default(), connected: false, door: Door(0) },
+                );
                 self.nodes[node].by_id.insert(id, (link, 0));
                 let at = self.now + self.delay();
                 self.plan(at, Event::Connecting { link, addr });
