--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -242,6 +242,57 @@
         let mut out = String::new();
         // Writing to a text does not fail.
         let _ = prometheus_client::encoding::text::encode(&mut out, &self.registry);
-        out
+        in_order(&out)
+    }
+}
+
+/// The same text with the samples of each metric in the order of their labels: the library keeps them in hash maps, and
+/// the same day has to give the same bytes. The samples of one histogram stay together, as their own order counts.
+fn in_order(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    let mut samples: Vec<Vec<&str>> = Vec::new();
+    let mut histogram = false;
+    for line in text.lines().chain(["#"]) {
+        if line.starts_with('#') {
+            samples.sort();
+            samples.drain(..).flatten().for_each(|l| out.extend([l, "\n"]));
+            histogram = line.ends_with(" histogram") || (histogram && line.starts_with("# UNIT"));
+            if line != "#" {
+                out.extend([line, "\n"]);
+            }
+        } else {
+            match samples.last_mut() {
+                Some(last) if histogram && !line.contains("_sum{") => last.push(line),
+                _ => samples.push(vec![line]),
+            }
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn samples_are_in_the_order_of_their_labels_and_histograms_whole() {
+        let gauges = Gauges::default();
+        for name in ["d", "b", "a", "c"] {
+            gauges.asked(name);
+            gauges.added.get_or_create(&class(name)).observe(0.5);
+        }
+        let text = gauges.write(&Now::default());
+        let lines =
+            |part: &str| text.lines().filter(|l| l.contains(part)).map(str::to_owned).collect::<Vec<_>>();
+        let asked = lines("class_asked_total");
+        assert!(asked.is_sorted() && asked.len() == 4, "{asked:?}");
+        let added = lines("slipreel_added_seconds_");
+        let of = |l: &String| l.split("class=\"").nth(1).and_then(|rest| rest.chars().next());
+        assert!(added.iter().map(of).is_sorted(), "{added:?}");
+        assert!(
+            added[0].starts_with("slipreel_added_seconds_sum") && added[2].contains("le=\"0.00001\""),
+            "{added:?}"
+        );
+        assert!(text.ends_with("# EOF\n"));
     }
 }
