A change of role must raise the share served: gains over the mixes to come, rhythm, oracle

The fluid model is shared by tests and benchmark and has an oracle of the same limits that knows each flip.

--- a/crates/roles/src/mix.rs
+++ b/crates/roles/src/mix.rs
@@ -13,6 +13,15 @@
 /// Runs of one imbalance that are remembered. Enough for a daily rhythm's mean, few enough to forget yesterday's.
 const RUNS: usize = 8;
 
+/// How far the quotient of reading and writing has to be from its usual one to lean to a side, as a logarithm: a fifth.
+const LEANS: f64 = 0.2;
+/// Weight of a second's sample in the mean that leaning goes by; no unit. About the last second and a half.
+const QUICK_WEIGHT_PER_S: f64 = 0.5;
+/// Swings of each side after which there may be a rhythm, and how many are remembered.
+const BEATS: [usize; 2] = [2, 4];
+/// How far swings may be from their mean, as a share of it, to be a rhythm.
+const OFF_BEAT: f64 = 0.2;
+
 /// Work that arrives, in engines kept busy by it: 2.5 means that two and a half engines do nothing else.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Mix {
@@ -35,6 +44,64 @@
     side: i8,
     since: Duration,
     runs: Vec<Duration>,
+    /// The swings of the mix itself, whatever engines there are for it.
+    swings: Swings,
+}
+
+/// How the mix swings between two sides, of more reading and of more writing than usual.
+#[derive(Clone, Debug, Default)]
+struct Swings {
+    quick: Option<Mix>,
+    /// Reading is 0, writing 1.
+    side: Option<usize>,
+    since: Duration,
+    /// How long the last swings to each side lasted, and their mix.
+    lasted: [Vec<Duration>; 2],
+    mix: [Mix; 2],
+}
+
+impl Swings {
+    fn see(&mut self, now: Duration, step: f64, mix: Mix, usual: Mix) {
+        let before = self.quick.unwrap_or(mix);
+        let weight = 1.0 - (1.0 - QUICK_WEIGHT_PER_S).powf(step);
+        let near = |mean: f64, new: f64, weight: f64| mean + weight * (new - mean);
+        let quick =
+            Mix { read: near(before.read, mix.read, weight), write: near(before.write, mix.write, weight) };
+        self.quick = Some(quick);
+        let quotient = |m: Mix| (m.read.max(1e-6) / m.write.max(1e-6)).ln();
+        let leans = quotient(quick) - quotient(usual);
+        let side = if leans.abs() < LEANS { self.side } else { Some(usize::from(leans < 0.0)) };
+        if side != self.side {
+            if let Some(left) = self.side {
+                let lasted = &mut self.lasted[left];
+                lasted.push(now.saturating_sub(self.since));
+                if lasted.len() > BEATS[1] {
+                    lasted.remove(0);
+                }
+            }
+            (self.side, self.since) = (side, now);
+        }
+        if let Some(side) = side {
+            // The mix of a side is that of its latter part: its beginning is still on its way from the other.
+            let weight = 1.0 - (1.0 - WEIGHT_PER_S).powf(step);
+            let held = self.mix[side];
+            let held = if held == Mix::default() { quick } else { held };
+            self.mix[side] = Mix {
+                read: near(held.read, quick.read, weight),
+                write: near(held.write, quick.write, weight),
+            };
+        }
+    }
+
+    /// How long a swing to a side lasts, if those that ended are alike.
+    fn beat(&self, side: usize) -> Option<Duration> {
+        let lasted = &self.lasted[side];
+        if lasted.len() < BEATS[0] {
+            return None;
+        }
+        let mean = lasted.iter().sum::<Duration>() / lasted.len() as u32;
+        lasted.iter().all(|l| l.abs_diff(mean) <= mean.mul_f64(OFF_BEAT)).then_some(mean)
+    }
 }
 
 impl MixHistory {
@@ -42,6 +109,7 @@
     pub fn see(&mut self, now: Duration, mix: Mix) {
         let step = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
+        self.swings.see(now, step, mix, if self.mean.is_some() { self.slow } else { mix });
         let Some(before) = self.mean else {
             (self.mean, self.slow, self.from) = (Some(mix), mix, now);
             return;
@@ -62,6 +130,11 @@
         self.mean = Some(mean);
     }
 
+    /// When it last took a sample.
+    pub fn at(&self) -> Duration {
+        self.at
+    }
+
     /// The mean of late.
     pub fn mean(&self) -> Mix {
         self.mean.unwrap_or_default()
@@ -73,6 +146,17 @@
         self.comes_and_goes().then(|| (self.slow, Duration::from_secs_f64(1.0 / SLOW_WEIGHT_PER_S)))
     }
 
+    /// What is to come where the mix swings in a rhythm: the present side's mix for as long as it has left, then the
+    /// other's for as long as that lasts. `None` without a rhythm, or once the present swing is well over its time.
+    pub fn rhythm(&self, now: Duration) -> Option<[(Mix, Duration); 2]> {
+        let side = self.swings.side?;
+        let (here, there) = (self.swings.beat(side)?, self.swings.beat(1 - side)?);
+        let age = now.saturating_sub(self.swings.since);
+        let off = here.mul_f64(OFF_BEAT);
+        let left = if age <= here { here - age } else { Duration::ZERO };
+        (age <= here + off).then_some([(self.swings.mix[side], left), (self.swings.mix[1 - side], there)])
+    }
+
     /// The mean as it would be after `ahead` if its trend went on.
     pub fn ahead(&self, ahead: Duration) -> Mix {
         let (mean, s) = (self.mean(), ahead.as_secs_f64());
--- a/crates/roles/src/planner.rs
+++ b/crates/roles/src/planner.rs
@@ -1,9 +1,12 @@
 //! The planner: from a view to changes that pay.
+//!
+//! A request needs both stages, so what counts is the share of requests that the weaker stage can serve, not work done:
+//! an idle engine more at a stage that is not the weaker one serves nobody. Gains and costs are in seconds of full
+//! service: 2 is what the whole fleet serves in two seconds when it serves all.
 
 use crate::mix::{Mix, MixHistory};
 use crate::program;
 use slipreel::{CellId, EngineId, Role, ZoneId};
-use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -14,6 +17,10 @@
 const YOUNGEST: Duration = Duration::from_secs(3);
 /// A change has to gain so many times its cost; no unit. How long an imbalance lasts is a guess.
 pub(crate) const MARGIN: f64 = 1.5;
+/// How likely a change has to be undone, as long as nothing is known of swings; no unit.
+const UNDONE: f64 = 0.5;
+/// What a change in a rhythm is weighed against: the same change so much later.
+const WAIT: Duration = Duration::from_secs(1);
 /// How far the forecast looks: about what a change takes.
 const AHEAD: Duration = Duration::from_secs(10);
 
@@ -116,11 +123,11 @@
     pub to: Role,
     /// The epoch that it replaces.
     pub replaces: u64,
-    /// Engines' work missing at its new stage, before it.
-    pub short: f64,
-    /// What it costs, seconds of an engine.
+    /// Share of requests that can be served before it, and once it has worked.
+    pub served: (f64, f64),
+    /// What it costs, seconds of full service.
     pub cost: f64,
-    /// What it gains, seconds of an engine.
+    /// What it gains, seconds of full service.
     pub gain: f64,
     /// How long the imbalance is likely to last.
     pub likely: Duration,
@@ -130,8 +137,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:x}: {:?} to {:?} (epoch {}): {:.1} engines short, likely for {:.0} s; costs {:.1}, gains {:.1} engine seconds",
-            self.engine.0, self.from, self.to, self.replaces, self.short, self.likely.as_secs_f64(), self.cost, self.gain
+            "{:x}: {:?} to {:?} (epoch {}): serves {:.1}% in place of {:.1}%, likely for {:.0} s; costs {:.2}, gains {:.2} s of full service",
+            self.engine.0, self.from, self.to, self.replaces, 100.0 * self.served.1, 100.0 * self.served.0,
+            self.likely.as_secs_f64(), self.cost, self.gain
         )
     }
 }
@@ -178,14 +186,24 @@
         pools
     }
 
-    /// Engines' work that finds no engine, at reading and at writing.
-    pub(crate) fn short(self, mix: Mix) -> (f64, f64) {
-        ((mix.read - FULL * self.readers).max(0.0), (mix.write - FULL * self.writers).max(0.0))
+    /// Share of what is asked that the weaker stage can serve.
+    pub(crate) fn serves(self, mix: Mix) -> f64 {
+        let can = |engines: f64, work: f64| if work > 0.0 { FULL * engines.max(0.0) / work } else { 1.0 };
+        can(self.readers, mix.read).min(can(self.writers, mix.write)).min(1.0)
     }
 
-    fn after(self, to: Role) -> Pools {
-        let one = if to == Role::Read { 1.0 } else { -1.0 };
-        Pools { readers: self.readers + one, writers: self.writers - one }
+    /// Where `gone` engines have left their role for this one, and `there` of them work in it.
+    fn moved(self, to: Role, gone: f64, there: f64) -> Pools {
+        match to {
+            Role::Read => Pools { readers: self.readers + there, writers: self.writers - gone },
+            _ => Pools { readers: self.readers - gone, writers: self.writers + there },
+        }
+    }
+
+    /// The stage that one more engine from the other would help, if there is one.
+    fn wants(self, mix: Mix) -> Option<Role> {
+        let serves = self.serves(mix);
+        [Role::Read, Role::Write].into_iter().find(|&to| self.moved(to, 1.0, 1.0).serves(mix) > serves)
     }
 }
 
@@ -208,21 +226,26 @@
             Policy::Forecast => self.history.ahead(AHEAD),
             _ => self.history.mean(),
         };
-        let (read, write) = pools.short(mix);
-        let side = if read > write { -1 } else { i8::from(write > read) };
+        let wants = pools.wants(mix);
+        let side = wants.map_or(0, |to| if to == Role::Read { -1 } else { 1 });
         self.history.note_short(view.now, side);
         let none = |because: &str| Plan { changes: Vec::new(), because: because.into() };
         if self.limits.frozen {
             return none("changes are frozen");
         }
+        if let Some(to_come) = self.history.rhythm(view.now) {
+            return match self.room(view) {
+                0 => none("as many changes are under way as may be"),
+                room => self.in_rhythm(view, pools, &to_come, room),
+            };
+        }
         if side == 0 {
-            return none("no stage is short of engines");
+            return none("no change would serve more");
         }
         if self.history.age(view.now) < YOUNGEST {
             return none("the imbalance is too young");
         }
-        let under_way = view.engines.iter().filter(|e| matches!(e.phase, Phase::Changing(_))).count();
-        let room = self.limits.in_flight.saturating_sub(under_way);
+        let room = self.room(view);
         if room == 0 {
             return none("as many changes are under way as may be");
         }
@@ -233,112 +256,199 @@
         };
         // What does not pay within a swing may pay over many: the pools then follow the mean of the swings.
         let long = self.answer(view, pools, slow, room, lasts);
-        if long.changes.is_empty() {
+        // Not against the present swing: its own changes would be undone, and made again.
+        let against =
+            long.changes.first().is_some_and(|c| pools.moved(c.to, 1.0, 1.0).serves(mix) < pools.serves(mix));
+        if long.changes.is_empty() || against {
             plan
         } else {
             long
         }
     }
 
+    /// How many changes may begin now.
+    fn room(&self, view: &View) -> usize {
+        let under_way = view.engines.iter().filter(|e| matches!(e.phase, Phase::Changing(_))).count();
+        self.limits.in_flight.saturating_sub(under_way)
+    }
+
+    /// Where the mix swings in a rhythm what is to come is known: the changes that bring most until the swing after the
+    /// next, begun when waiting a second more would bring less.
+    fn in_rhythm(&self, view: &View, pools: Pools, to_come: &[(Mix, Duration)], room: usize) -> Plan {
+        let mut best =
+            Plan { changes: Vec::new(), because: "no change pays before the mix swings back".into() };
+        let mut most = 0.0;
+        let mix = to_come[0].0;
+        for to in [Role::Read, Role::Write] {
+            // What serves the present swing is undone before the next; what does not is for that one.
+            let helps = pools.moved(to, 1.0, 1.0).serves(mix) > pools.serves(mix);
+            let to_come = if helps { &to_come[..1] } else { to_come };
+            let candidates = self.candidates(view, to, mix, pools);
+            let chosen = self.within_limits(view, candidates, room);
+            let (plan, net) = self.pay(&chosen, pools, to_come, to);
+            let count = plan.changes.len() as f64;
+            if net <= most {
+                continue;
+            }
+            let wait = self.over_time(pools, to_come, to, count, WAIT);
+            let waited =
+                wait.0 - MARGIN * (wait.1 + self.costs_of(&chosen[..plan.changes.len()], mix, pools));
+            if net >= waited {
+                (best, most) = (plan, net);
+            } else {
+                best.because = "it is too early for the next swing of the mix".into();
+            }
+        }
+        best
+    }
+
+    fn costs_of(&self, chosen: &[&EngineView], mix: Mix, pools: Pools) -> f64 {
+        chosen.iter().map(|e| self.cost(e, mix, pools)).sum()
+    }
+
+    /// As many of these, in order, as may change together.
+    fn within_limits<'a>(
+        &self, view: &View, candidates: impl IntoIterator<Item = &'a EngineView>, room: usize,
+    ) -> Vec<&'a EngineView> {
+        let mut chosen: Vec<&EngineView> = Vec::new();
+        for e in candidates {
+            if chosen.len() == room {
+                break;
+            }
+            if self.may_leave(view, e, &chosen) {
+                chosen.push(e);
+            }
+        }
+        chosen
+    }
+
     /// The changes that answer a mix which is likely to last so long.
     fn answer(&self, view: &View, pools: Pools, mix: Mix, room: usize, likely: Duration) -> Plan {
         let none = |because: &str| Plan { changes: Vec::new(), because: because.into() };
-        let (read, write) = pools.short(mix);
-        if read == write {
-            return none("no stage is short of engines");
-        }
-        let to = if read > write { Role::Read } else { Role::Write };
-        let candidates = self.candidates(view, to);
+        let Some(to) = pools.wants(mix) else { return none("no change would serve more") };
+        let candidates = self.candidates(view, to, mix, pools);
         if candidates.is_empty() {
             return none("no engine may change: limits of cells, zones or time in a role");
         }
         let picked = match self.policy {
             Policy::Program => {
-                let costs: Vec<f64> = candidates.iter().map(|e| self.cost(e)).collect();
-                program::choose(&costs, pools, mix, to, self.paid_time(likely), room)
+                let costs: Vec<f64> = candidates.iter().map(|e| self.cost(e, mix, pools)).collect();
+                let seconds = likely.saturating_sub(self.costs.drain + self.cold_loss()).as_secs_f64();
+                program::choose(&costs, pools, mix, to, seconds, room)
             }
             _ => (0..candidates.len()).collect(),
         };
-        let chosen: Vec<&EngineView> = picked.into_iter().map(|n| candidates[n]).collect();
-        self.pay(&chosen, view, pools, mix, to, room, likely)
+        let chosen = self.within_limits(view, picked.into_iter().map(|n| candidates[n]), room);
+        self.pay(&chosen, pools, &[(mix, likely)], to).0
     }
 
-    /// Takes changes in turn as long as each gains more than it costs.
-    #[allow(clippy::too_many_arguments)]
+    /// Takes as many of the chosen, in turn, as bring most under the mixes to come: what they gain together, less what
+    /// they cost. The plan, and what it brings.
     fn pay(
-        &self, chosen: &[&EngineView], view: &View, mut pools: Pools, mix: Mix, to: Role, room: usize,
-        likely: Duration,
-    ) -> Plan {
-        let mut plan = Plan { changes: Vec::new(), because: String::new() };
-        let mut taken: BTreeMap<EngineId, ()> = BTreeMap::new();
-        for e in chosen {
-            if plan.changes.len() == room {
-                plan.because = "as many changes as may be under way".into();
-                break;
-            }
-            if !self.may_leave(view, e, &taken) {
-                continue;
+        &self, chosen: &[&EngineView], pools: Pools, to_come: &[(Mix, Duration)], to: Role,
+    ) -> (Plan, f64) {
+        let likely = to_come.iter().map(|(_, lasts)| *lasts).sum();
+        let Some(&(mix, _)) = to_come.first() else { return Default::default() };
+        let worth = |n: usize| {
+            let (gain, loss) = self.over_time(pools, to_come, to, n as f64, Duration::ZERO);
+            (gain, loss + self.costs_of(&chosen[..n], mix, pools))
+        };
+        let (mut count, mut most) = (0, 0.0);
+        for n in 1..=chosen.len() {
+            let (gain, cost) = worth(n);
+            if gain - MARGIN * cost > most {
+                (count, most) = (n, gain - MARGIN * cost);
             }
-            let after = pools.after(to);
-            let (short, left) = (pools.short(mix), after.short(mix));
-            let saved = short.0 + short.1 - left.0 - left.1;
-            let gain = saved.max(0.0) * self.paid_time(likely);
-            let cost = self.cost(e);
-            if gain <= MARGIN * cost {
-                plan.because =
-                    format!("a further change would gain {gain:.1} and cost {cost:.1} engine seconds");
-                break;
+        }
+        let (gain, cost) = worth(count);
+        let last = to_come.last().map_or(mix, |(mix, _)| *mix);
+        let served = (pools.serves(last), pools.moved(to, count as f64, count as f64).serves(last));
+        let change = |e: &&EngineView| Change {
+            engine: e.id,
+            from: e.role,
+            to,
+            replaces: e.epoch,
+            served,
+            cost: cost / count as f64,
+            gain: gain / count as f64,
+            likely,
+        };
+        let because = if chosen.is_empty() {
+            "no engine may change: limits of cells, zones or time in a role".into()
+        } else if count == chosen.len() {
+            "as many changes as may be under way".into()
+        } else {
+            let (gain, cost) = worth(count + 1);
+            format!("{} changes would gain {gain:.2} and cost {cost:.2} seconds of full service", count + 1)
+        };
+        (Plan { changes: chosen[..count].iter().map(change).collect(), because }, most)
+    }
+
+    /// What `n` changes begun after `wait` gain and lose in service over the mixes to come, in seconds of full service:
+    /// while they drain, while they are cold, and once they work.
+    fn over_time(
+        &self, pools: Pools, to_come: &[(Mix, Duration)], to: Role, n: f64, wait: Duration,
+    ) -> (f64, f64) {
+        let half_warm = f64::midpoint(self.costs.cold_share, 1.0);
+        let phases = [(wait, 0.0, 0.0), (self.costs.drain, n, 0.0), (self.costs.cold, n, n * half_warm)];
+        let mut phases = phases.into_iter().map(|(lasts, gone, there)| (lasts.as_secs_f64(), gone, there));
+        let (mut gain, mut loss) = (0.0, 0.0);
+        let (mut lasts, mut gone, mut there) = (0.0, 0.0, 0.0);
+        for (mix, left) in to_come {
+            let (before, mut left) = (pools.serves(*mix), left.as_secs_f64());
+            while left > 0.0 {
+                while lasts <= 0.0 {
+                    (lasts, gone, there) = phases.next().unwrap_or((f64::INFINITY, n, n));
+                }
+                let part = left.min(lasts);
+                (left, lasts) = (left - part, lasts - part);
+                let change = (pools.moved(to, gone, there).serves(*mix) - before) * part;
+                gain += change.max(0.0);
+                loss += (-change).max(0.0);
             }
-            let short = if to == Role::Read { short.0 } else { short.1 };
-            let change =
-                Change { engine: e.id, from: e.role, to, replaces: e.epoch, short, cost, gain, likely };
-            plan.changes.push(change);
-            taken.insert(e.id, ());
-            pools = after;
         }
-        plan
+        (gain, loss)
     }
 
-    /// Seconds for which a change works before the imbalance is likely to be over.
-    fn paid_time(&self, likely: Duration) -> f64 {
-        likely.saturating_sub(self.costs.drain).as_secs_f64()
+    /// What an engine lacks while it is cold, as time in which it would not work at all.
+    fn cold_loss(&self) -> Duration {
+        self.costs.cold.mul_f64((1.0 - self.costs.cold_share) / 2.0)
     }
 
-    /// What a change costs, seconds of an engine: its drain, as far as it was busy; what it lacks while cold; the kept
-    /// text that will be read again. Where imbalances come and go it will have to be undone: twice, and the engine is
-    /// missed at its old stage from the next swing on until it is back.
-    fn cost(&self, e: &EngineView) -> f64 {
-        let drain = self.costs.drain.as_secs_f64() * e.busy.clamp(0.0, 1.0);
-        let cold = self.costs.cold.as_secs_f64() * (1.0 - self.costs.cold_share) / 2.0;
-        let again = e.kept_tokens / self.costs.read_per_s.max(1.0);
-        let once = drain + cold + again;
-        if self.history.comes_and_goes() {
-            2.0 * once + (YOUNGEST + self.costs.drain).as_secs_f64()
-        } else {
-            once
-        }
+    /// What changing an engine costs beside the service of the meantime, seconds of full service: the kept text that
+    /// will be read again, and that the change may have to be undone: then the engine is missed at its old stage until it
+    /// is back and warm, and the text is lost twice. Certain where imbalances come and go, else as likely as not.
+    fn cost(&self, e: &EngineView, mix: Mix, pools: Pools) -> f64 {
+        let again = e.kept_tokens / self.costs.read_per_s.max(1.0) / mix.read.max(1.0);
+        let swings = self.history.comes_and_goes() || self.history.rhythm(self.history.at()).is_some();
+        let undone = if swings { 1.0 } else { UNDONE };
+        let missed = (YOUNGEST + self.costs.drain + self.cold_loss()).as_secs_f64();
+        let stage = if e.role == Role::Read { pools.readers } else { pools.writers };
+        again + undone * (again + missed / stage.max(1.0))
     }
 
     /// The engines that may take the role, the cheapest first.
-    fn candidates<'a>(&self, view: &'a View, to: Role) -> Vec<&'a EngineView> {
+    fn candidates<'a>(&self, view: &'a View, to: Role, mix: Mix, pools: Pools) -> Vec<&'a EngineView> {
         let from = if to == Role::Read { Role::Write } else { Role::Read };
-        let none = BTreeMap::new();
         let may = |e: &&EngineView| {
             e.role == from
                 && e.phase == Phase::Serving
                 && view.now.saturating_sub(e.since) >= self.limits.least_time
-                && self.may_leave(view, e, &none)
+                && self.may_leave(view, e, &[])
         };
         let mut candidates: Vec<&EngineView> = view.engines.iter().filter(may).collect();
-        candidates.sort_by(|a, b| self.cost(a).total_cmp(&self.cost(b)).then(a.id.cmp(&b.id)));
+        let cost = |e: &EngineView| self.cost(e, mix, pools);
+        candidates.sort_by(|a, b| {
+            cost(a).total_cmp(&cost(b)).then(a.busy.total_cmp(&b.busy)).then(a.id.cmp(&b.id))
+        });
         candidates
     }
 
     /// Whether its cell and zone keep enough of its role without it and without those taken.
-    fn may_leave(&self, view: &View, e: &EngineView, taken: &BTreeMap<EngineId, ()>) -> bool {
+    fn may_leave(&self, view: &View, e: &EngineView, taken: &[&EngineView]) -> bool {
         let stays = |o: &&EngineView| {
             let there = matches!(o.phase, Phase::Serving | Phase::Warming);
-            o.id != e.id && o.role == e.role && there && !taken.contains_key(&o.id)
+            o.id != e.id && o.role == e.role && there && !taken.iter().any(|t| t.id == o.id)
         };
         let in_cell = view.engines.iter().filter(stays).filter(|o| o.cell == e.cell).count();
         let in_zone = view.engines.iter().filter(stays).filter(|o| o.zone == e.zone).count();
--- /dev/null
+++ b/crates/roles/tests/fluid/mod.rs
@@ -0,0 +1,170 @@
+//! A fluid model of two stages: work that arrives, engines that change, drain and warm up, and an oracle that knows the mix
+//! ahead. A model, not measurements of engines. Shared by the tests and `benches/plan.rs`.
+#![allow(dead_code)]
+
+use slipreel::{CellId, EngineId, Role, ZoneId};
+use slipreel_roles::*;
+use std::time::Duration;
+
+pub fn s(n: f64) -> Duration {
+    Duration::from_secs_f64(n)
+}
+
+pub const LIMITS: Limits = Limits {
+    in_flight: 2,
+    readers_in_cell: 1,
+    writers_in_cell: 1,
+    in_zone: 1,
+    least_time: Duration::from_secs(15),
+    frozen: false,
+};
+pub const COSTS: Costs = Costs {
+    drain: Duration::from_secs(2),
+    cold: Duration::from_secs(10),
+    cold_share: 0.3,
+    read_per_s: 20_000.0,
+};
+
+pub struct Fluid {
+    pub engines: Vec<EngineView>,
+    leaving: Vec<(usize, Duration, Role)>,
+    changes: usize,
+}
+
+impl Fluid {
+    pub fn new(n: usize) -> Self {
+        let engine = |i: usize| EngineView {
+            id: EngineId(i as u64),
+            role: if i < n / 2 { Role::Read } else { Role::Write },
+            epoch: 0,
+            cell: CellId((i % (n / 8).max(1)) as u32),
+            zone: ZoneId((i % 2) as u32),
+            phase: Phase::Serving,
+            since: Duration::ZERO,
+            busy: 0.6,
+            kept_tokens: 10_000.0,
+        };
+        Fluid { engines: (0..n).map(engine).collect(), leaving: Vec::new(), changes: 0 }
+    }
+
+    /// Engines' work that a role can do now.
+    fn can(&self, now: Duration, role: Role) -> f64 {
+        let speed = |e: &EngineView| match e.phase {
+            Phase::Changing(_) | Phase::Leaving => 0.0,
+            _ if e.epoch == 0 => 1.0,
+            _ => {
+                let age = now.saturating_sub(e.since).as_secs_f64() / COSTS.cold.as_secs_f64();
+                (COSTS.cold_share + (1.0 - COSTS.cold_share) * age).min(1.0)
+            }
+        };
+        self.engines.iter().filter(|e| e.role == role).map(speed).sum()
+    }
+
+    fn apply(&mut self, now: Duration, plan: &Plan) {
+        for change in &plan.changes {
+            let i = change.engine.0 as usize;
+            self.engines[i].phase = Phase::Changing(change.to);
+            self.leaving.push((i, now + COSTS.drain, change.to));
+            self.changes += 1;
+        }
+        let done: Vec<_> = self.leaving.iter().filter(|l| l.1 <= now).copied().collect();
+        self.leaving.retain(|l| l.1 > now);
+        for (i, _, to) in done {
+            let e = &mut self.engines[i];
+            (e.role, e.phase, e.since, e.epoch, e.kept_tokens) = (to, Phase::Serving, now, e.epoch + 1, 0.0);
+        }
+    }
+}
+
+/// Share of the work that was done at once over the day, and the changes made. A request needs both stages, so the weaker
+/// stage counts.
+pub fn day(n: usize, policy: Option<Policy>, mix: impl Fn(f64) -> Mix, seconds: f64) -> (f64, usize) {
+    let mut fluid = Fluid::new(n);
+    let mut planner = Planner::new(LIMITS, COSTS, policy.unwrap_or(Policy::Greedy));
+    let (mut done, mut asked, mut t) = (0.0, 0.0, 0.0);
+    while t < seconds {
+        let (now, mix) = (s(t), mix(t));
+        let served = |need: f64, can: f64| if need > 0.0 { (can / need).min(1.0) } else { 1.0 };
+        done +=
+            served(mix.read, fluid.can(now, Role::Read)).min(served(mix.write, fluid.can(now, Role::Write)));
+        asked += 1.0;
+        if policy.is_some() {
+            let plan = planner.plan(&View { now, engines: fluid.engines.clone(), mix });
+            fluid.apply(now, &plan);
+        }
+        t += 0.5;
+    }
+    (done / asked, fluid.changes)
+}
+
+/// An oracle of the same limits that knows each flip ahead: it moves `k` engines to the stage that will be short, begun
+/// `lead` seconds before the flip, and back before the next. The best of all k and leads, which may be to do nothing.
+pub fn oracle(n: usize, mix: impl Fn(f64) -> Mix + Copy, seconds: f64) -> (f64, usize) {
+    let mut best = (0.0, 0);
+    for k in 0..=n / 4 {
+        for lead in [0.0, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 10.0, 12.0] {
+            let mut fluid = Fluid::new(n);
+            let (mut done, mut asked, mut t) = (0.0, 0.0, 0.0);
+            while t < seconds {
+                let (now, at) = (s(t), mix(t));
+                let served = |need: f64, can: f64| if need > 0.0 { (can / need).min(1.0) } else { 1.0 };
+                done += served(at.read, fluid.can(now, Role::Read))
+                    .min(served(at.write, fluid.can(now, Role::Write)));
+                asked += 1.0;
+                // The side that will be short once a change begun now has worked.
+                let ahead = mix(t + lead);
+                let goal = if ahead.read > ahead.write { n / 2 + k } else { n / 2 - k };
+                let mut readers = fluid.engines.iter().filter(|e| role_to_be(e) == Role::Read).count();
+                let mut changes = Vec::new();
+                while fluid.leaving.len() + changes.len() < LIMITS.in_flight && readers != goal {
+                    let to = if readers < goal { Role::Read } else { Role::Write };
+                    let free = |e: &&EngineView| {
+                        e.role != to
+                            && e.phase == Phase::Serving
+                            && !changes.iter().any(|c: &Change| c.engine == e.id)
+                    };
+                    let Some(e) =
+                        fluid.engines.iter().filter(free).max_by_key(|e| now.saturating_sub(e.since))
+                    else {
+                        break;
+                    };
+                    let (served, cost, gain, likely) = ((0.0, 0.0), 0.0, 0.0, Duration::ZERO);
+                    changes.push(Change {
+                        engine: e.id,
+                        from: e.role,
+                        to,
+                        replaces: e.epoch,
+                        served,
+                        cost,
+                        gain,
+                        likely,
+                    });
+                    readers = if to == Role::Read { readers + 1 } else { readers - 1 };
+                }
+                fluid.apply(now, &Plan { changes, because: String::new() });
+                t += 0.5;
+            }
+            if done / asked > best.0 + 1e-9 {
+                best = (done / asked, fluid.changes);
+            }
+        }
+    }
+    best
+}
+
+fn role_to_be(e: &EngineView) -> Role {
+    if let Phase::Changing(to) = e.phase {
+        to
+    } else {
+        e.role
+    }
+}
+
+/// Reading and writing in turn, each for half a period: 22 engines' work of one and 8 of the other.
+pub fn square(period: f64) -> impl Fn(f64) -> Mix + Copy {
+    move |t: f64| {
+        let reading = (t / period * 2.0) as u64 % 2 == 0;
+        let (read, write) = if reading { (22.0, 8.0) } else { (8.0, 22.0) };
+        Mix { read, write }
+    }
+}
