--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod load;
 mod logs;
+mod roles;
 mod serve;
 mod signals;
 
@@ -40,6 +41,8 @@
     Load(load::Args),
     /// Run a small fleet, routers and clients over loopback, and play a day.
     Demo(demo::Args),
+    /// See, plan, order and freeze changes of engines between reading and writing.
+    Roles(roles::Args),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -90,6 +93,7 @@
         Command::Standin(args) => engine::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Roles(args) => roles::run(&args),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "slipreel", &mut std::io::stdout());
             Ok(())
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -103,6 +103,7 @@
     round_at: Duration,
     plan_at: Option<Duration>,
     last: Plan,
+    seen: Vec<EngineView>,
     orders: usize,
     turned: usize,
     stopped: bool,
@@ -130,6 +131,7 @@
             round_at: now,
             plan_at: None,
             last: Plan::default(),
+            seen: Vec::new(),
             orders: 0,
             turned: 0,
             stopped: false,
@@ -147,6 +149,11 @@
         &self.last
     }
 
+    /// The engines that answered in the last round, as they were then.
+    pub fn seen(&self) -> &[EngineView] {
+        &self.seen
+    }
+
     /// Orders that engines took, and those that they turned away.
     pub fn orders(&self) -> (usize, usize) {
         (self.orders, self.turned)
@@ -265,6 +272,7 @@
 
     fn plan(&mut self, now: Duration, out: &mut Vec<Output>) {
         let mut view = self.view(now);
+        self.seen.clone_from(&view.engines);
         match self.demand.take(now, self.speeds) {
             Some(mix) => view.mix = mix,
             // Routers that can't be heard ask for nothing that is known: better no change than one by half a view.
--- a/crates/settings/src/doc.rs
+++ b/crates/settings/src/doc.rs
@@ -139,6 +139,14 @@
         self.sections.iter_mut().enumerate().filter_map(matches).collect()
     }
 
+    /// Leaves sections of a kind to another reader: nothing in them is a fault here.
+    pub fn skip(&mut self, kind: &str) {
+        for section in self.sections.iter_mut().filter(|s| s.kind == kind) {
+            section.used = true;
+            section.entries.iter_mut().for_each(|e| e.used = true);
+        }
+    }
+
     /// The only section of a kind, if it is there.
     pub fn one(&mut self, kind: &str) -> Option<usize> {
         let all = self.all(kind);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,22 +7,26 @@
 #![warn(missing_docs)]
 
 mod doc;
+mod roles;
 mod site;
 mod slices;
 mod values;
 
 pub use doc::{Doc, Fault, Section};
+pub use roles::{parse_roles, RolesSite};
 pub use site::{read_site, Daemon, LogFormat, SITE_SECTIONS};
-pub use slices::engines_from_slices;
+pub use slices::{engines_from_slices, engines_to_slices};
 pub use values::{Bytes, Loopback, Name, Value};
 
-/// Reads the settings of a router.
+/// Reads the settings of a router; a section `[roles]` is left to [`parse_roles`].
 ///
 /// # Errors
 /// Every fault of the text, in the order of its lines.
 pub fn parse(text: &str, file: &str) -> Result<Daemon, Vec<Fault>> {
     let mut doc = Doc::parse(text, file)?;
     let daemon = read_site(&mut doc, true);
+    // Read by `slipreel roles`, and checked there.
+    doc.skip("roles");
     doc.finish(SITE_SECTIONS)?;
     daemon.ok_or_else(Vec::new)
 }
--- /dev/null
+++ b/crates/settings/src/roles.rs
@@ -0,0 +1,128 @@
+//! `[roles]`: who may change engines between reading and writing, and within which limits.
+
+use crate::doc::{Doc, Fault};
+use crate::site::{read_site, SITE_SECTIONS};
+use crate::values::{Loopback, Value};
+use crate::Daemon;
+use slipreel_roles::{Costs, Limits, Places, Policy, Speeds};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What a conductor is handed beside the list of engines.
+#[derive(Clone, Debug)]
+pub struct RolesSite {
+    /// How changes are chosen.
+    pub policy: Policy,
+    /// What operators allow.
+    pub limits: Limits,
+    /// What a change costs.
+    pub costs: Costs,
+    /// What an engine does a second.
+    pub speeds: Speeds,
+    /// Requests that keep an engine wholly busy.
+    pub places: Places,
+    /// The operators' ports of all routers: what is asked of them is the demand.
+    pub routers: Vec<SocketAddr>,
+    /// Nothing is changed while this file is there.
+    pub freeze: Option<PathBuf>,
+    /// The list of engines that routers read, kept by what engines tell of their roles.
+    pub list: Option<PathBuf>,
+}
+
+impl Value for Policy {
+    const EXPECTED: &'static str = "greedy, forecast or program";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "greedy" => Ok(Policy::Greedy),
+            "forecast" => Ok(Policy::Forecast),
+            "program" => Ok(Policy::Program),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// Some addresses of loopback.
+struct Addresses(Vec<SocketAddr>);
+
+impl Value for Addresses {
+    const EXPECTED: &'static str = "loopback addresses with ports, with commas between them";
+    fn read(text: &str) -> Result<Self, String> {
+        let all: Result<Vec<Loopback>, String> = text.split(',').map(|a| Loopback::read(a.trim())).collect();
+        all.map(|all| Addresses(all.into_iter().map(|a| a.0).collect())).map_err(|_| Self::EXPECTED.into())
+    }
+}
+
+/// A rate or a number of places: over 0.
+struct Over0(f64);
+
+impl Value for Over0 {
+    const EXPECTED: &'static str = "a number over 0";
+    fn read(text: &str) -> Result<Self, String> {
+        let number: Option<f64> = text.parse().ok().filter(|n: &f64| n.is_finite() && *n > 0.0);
+        number.map(Over0).ok_or_else(|| Self::EXPECTED.into())
+    }
+}
+
+/// Reads settings with a section `[roles]`.
+///
+/// # Errors
+/// Every fault of the text, in the order of its lines.
+pub fn parse_roles(text: &str, file: &str) -> Result<(Daemon, RolesSite), Vec<Fault>> {
+    let mut doc = Doc::parse(text, file)?;
+    let daemon = read_site(&mut doc, true);
+    let roles = match (doc.one("roles"), &daemon) {
+        (Some(at), Some(daemon)) => read_roles(&mut doc, at, daemon),
+        (None, _) => {
+            doc.say_file("expected a section [roles]");
+            None
+        }
+        _ => None,
+    };
+    doc.finish(SITE_SECTIONS)?;
+    daemon.zip(roles).ok_or_else(Vec::new)
+}
+
+fn read_roles(doc: &mut Doc, at: usize, daemon: &Daemon) -> Option<RolesSite> {
+    let here = Some(at);
+    let s = Duration::from_secs;
+    let settings = &daemon.site.settings;
+    let limits = Limits {
+        in_flight: doc.or(here, "in_flight", 2usize),
+        readers_in_cell: doc.or(here, "readers_in_cell", 1usize),
+        writers_in_cell: doc.or(here, "writers_in_cell", 1usize),
+        in_zone: doc.or(here, "in_zone", 1usize),
+        least_time: doc.or(here, "least_time", s(60)),
+        frozen: false,
+    };
+    let speeds = (doc.need::<Over0>(at, "read_per_s"), doc.need::<Over0>(at, "write_per_s"));
+    let places = (doc.need::<Over0>(at, "read_places"), doc.need::<Over0>(at, "write_places"));
+    let costs = Costs {
+        drain: doc.or(here, "drain", s(5)),
+        cold: settings.cold_time,
+        cold_share: settings.cold_share,
+        read_per_s: speeds.0.as_ref().map_or(1.0, |n| n.0),
+    };
+    let policy = doc.or(here, "policy", Policy::Greedy);
+    let routers = doc.need::<Addresses>(at, "routers");
+    let freeze = doc.get::<String>(at, "freeze").map(PathBuf::from);
+    let list = doc.get::<String>(at, "list").map(PathBuf::from);
+    if let (Some(list), Some(read)) = (&list, &daemon.engines_file) {
+        if list != read {
+            let what = format!("{}: expected the file that routers read, {}", list.display(), read.display());
+            doc.say(at, "list", what);
+        }
+    }
+    let (Over0(read), Over0(write)) = (speeds.0?, speeds.1?);
+    let (Over0(read_places), Over0(write_places)) = (places.0?, places.1?);
+    Some(RolesSite {
+        policy,
+        limits,
+        costs,
+        speeds: Speeds { read, write },
+        places: Places { read: read_places, write: write_places },
+        routers: routers?.0,
+        freeze,
+        list,
+    })
+}
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -13,7 +13,7 @@
 
 /// The sections of a router's settings.
 pub const SITE_SECTIONS: &[&str] =
-    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log"];
+    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "roles"];
 
 /// How lines are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/settings/src/slices.rs
+++ b/crates/settings/src/slices.rs
@@ -1,9 +1,11 @@
 //! The list of engines from a text in the EndpointSlice JSON format, checked.
 
 use crate::values::Value;
+use serde_json::json;
 use slipreel::{EngineState, Role};
 use slipreel_front::site::EngineSite;
 use slipreel_protocol::endpoints;
+use std::collections::BTreeMap;
 
 /// Reads a list of engines.
 ///
@@ -34,3 +36,64 @@
     }
     Ok(engines)
 }
+
+/// Writes a list of engines as an `EndpointSliceList`, a slice for each role and cell; what [`engines_from_slices`] reads
+/// of it is this list but for the names.
+pub fn engines_to_slices(engines: &[EngineSite]) -> String {
+    let mut slices: BTreeMap<(&str, &str, u16, bool), Vec<&EngineSite>> = BTreeMap::new();
+    for e in engines.iter().filter(|e| e.state != EngineState::Gone) {
+        let role = match e.role {
+            Role::Read => "read",
+            Role::Write => "write",
+            Role::Both => "both",
+        };
+        // The ports of a slice are those of all its addresses, and its addresses of one family.
+        slices.entry((role, &e.cell, e.addr.port(), e.addr.is_ipv4())).or_default().push(e);
+    }
+    let items: Vec<_> = slices
+        .into_iter()
+        .map(|((role, cell, port, v4), engines)| {
+            let endpoints: Vec<_> = engines
+                .into_iter()
+                .map(|e| {
+                    let ready = e.state == EngineState::Ready;
+                    json!({"addresses": [e.addr.ip().to_string()], "zone": e.zone,
+                           "conditions": {"ready": ready, "serving": true, "terminating": !ready}})
+                })
+                .collect();
+            json!({"kind": "EndpointSlice", "apiVersion": "discovery.k8s.io/v1",
+                   "addressType": if v4 { "IPv4" } else { "IPv6" },
+                   "metadata": {"name": format!("{role}-{cell}-{port}"),
+                                "labels": {"slipreel.dev/role": role, "slipreel.dev/cell": cell}},
+                   "ports": [{"port": port}], "endpoints": endpoints})
+        })
+        .collect();
+    json!({"kind": "EndpointSliceList", "apiVersion": "discovery.k8s.io/v1", "items": items}).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_written_is_read_again() {
+        let engine = |addr: &str, role, cell: &str, state| EngineSite {
+            name: addr.into(),
+            addr: addr.parse().expect("an address"),
+            role,
+            zone: "west".into(),
+            cell: cell.into(),
+            state,
+        };
+        let mut all = vec![
+            engine("127.0.0.1:9001", Role::Read, "a", EngineState::Ready),
+            engine("127.0.0.2:9001", Role::Read, "a", EngineState::Draining),
+            engine("[::1]:9001", Role::Write, "a", EngineState::Ready),
+            engine("127.0.0.1:9004", Role::Both, "b", EngineState::Ready),
+        ];
+        let mut read = engines_from_slices(&engines_to_slices(&all)).expect("a list that can be read");
+        all.sort_by_key(|e| e.addr);
+        read.sort_by_key(|e| e.addr);
+        assert_eq!(read, all);
+    }
+}
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Settings: the sample is good, and every fault is named at once with its place and what was expected.
 
-use slipreel_settings::{engines_from_slices, parse};
+use slipreel_settings::{engines_from_slices, parse, parse_roles};
 
 const SAMPLE: &str = include_str!("../../../deploy/slipreel.ini");
 
@@ -26,6 +26,35 @@
     assert_eq!(daemon.site.models[0].served_as, "caption-1-fp8");
 }
 
+#[test]
+fn roles_are_read_beside_the_site_and_checked() {
+    let (_, roles) = parse_roles(SAMPLE, "f.ini").unwrap_or_else(|f| panic!("{f:?}"));
+    assert_eq!((roles.routers.len(), roles.limits.in_flight, roles.limits.frozen), (1, 2, false));
+    assert_eq!((roles.costs.read_per_s, roles.places.write), (20_000.0, 64.0));
+    let one = |from: &str, to: &str, part: &str| {
+        assert!(SAMPLE.contains(from), "{from}");
+        let found = parse_roles(&SAMPLE.replacen(from, to, 1), "f.ini").expect_err("faults");
+        assert!(found.len() == 1 && found[0].to_string().contains(part), "{to}: {found:?}");
+        // A router does not look into what is not its own.
+        assert!(to.contains("[router]") || parse(&SAMPLE.replacen(from, to, 1), "f.ini").is_ok(), "{to}");
+    };
+    one(
+        "policy = greedy",
+        "policy = magic",
+        "[roles] policy: \"magic\": expected greedy, forecast or program",
+    );
+    one(
+        "routers = 127.0.0.1:9180",
+        "routers = 127.0.0.1:9180, 8.8.8.8:80",
+        "expected loopback addresses with ports",
+    );
+    one("write_per_s = 3000", "write_per_s = 0", "[roles] write_per_s: \"0\": expected a number over 0");
+    one("in_flight = 2", "inflight = 2", "[roles] inflight: no such key here");
+    let without = SAMPLE.split("[roles]").next().expect("a sample");
+    let found = parse_roles(without, "f.ini").expect_err("no section");
+    assert!(found.iter().any(|f| f.to_string().contains("expected a section [roles]")), "{found:?}");
+}
+
 #[test]
 fn each_fault_names_place_value_and_what_was_expected() {
     let at = line_of("aim = 1200ms");
