--- a/crates/cli/src/roles.rs
+++ b/crates/cli/src/roles.rs
@@ -23,7 +23,7 @@
 
 #[derive(ClapArgs)]
 pub(crate) struct Args {
-    /// The settings, INI, with a section [roles].
+    /// The settings, INI, with a section `[roles]`.
     #[arg(long)]
     config: PathBuf,
     #[command(subcommand)]
