--- a/crates/cli/src/model.rs
+++ b/crates/cli/src/model.rs
@@ -15,6 +15,9 @@
     /// Another draw of all chances.
     #[arg(long)]
     seed: Option<u64>,
+    /// Print each change of role and why it was made.
+    #[arg(long)]
+    verbose: bool,
 }
 
 pub(crate) fn run(args: &Args) -> Outcome {
@@ -55,12 +58,15 @@
         "attempts {}, probes {}, changes of role {}, engines fallen over {}, still held {}, events {}, played in {:.1} s",
         figures.attempts,
         figures.probes,
-        figures.changes,
+        figures.orders.len(),
         figures.fallen,
         figures.held,
         figures.events,
         began.elapsed().as_secs_f64()
     );
+    for (at, why) in figures.orders.iter().filter(|_| args.verbose) {
+        println!("{:>8.1} s  {why}", at.as_secs_f64());
+    }
     if !figures.not_played.is_empty() {
         println!("not played: {}", figures.not_played.join(", "));
     }
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -55,8 +55,8 @@
     pub events: u64,
     /// Requests that routers and states that engines still held at the end: anything is a leak.
     pub held: usize,
-    /// Changes of role that engines took.
-    pub changes: usize,
+    /// Changes of role that engines took: when in the day, and why.
+    pub orders: Vec<(Duration, String)>,
     /// Engines that fell over, as they were sent too much while cold.
     pub fallen: usize,
     /// Kinds of trouble in the day that are not played here.
@@ -112,7 +112,8 @@
 pub fn play(day: &Day) -> Figures {
     let mut world = World::new(day);
     world.run();
-    world.figures.changes = world.roles.as_ref().map_or(0, |r| r.changes);
+    let orders = world.roles.take().map_or_else(Vec::new, |r| r.orders);
+    world.figures.orders = orders.into_iter().map(|(at, why)| (at - START, why)).collect();
     world.figures.fallen = world.engines.iter().filter(|e| e.fallen).count();
     let states: usize = world.engines.iter().map(|e| e.work.states.len()).sum();
     world.figures.held = world.hosts.iter().map(|h| h.calls.len()).sum::<usize>() + states;
@@ -447,8 +448,9 @@
                 self.over(router, request, |s| &mut s.served, None);
                 self.ended(who, Outcome::Ok, 0.0, report);
             }
-            Say::Full => self.ended(who, Outcome::Full { no_state: false }, 0.0, report),
-            Say::NoState => self.ended(who, Outcome::Full { no_state: true }, 0.0, report),
+            // What turns work away tells no load, as the stand-in's errors don't.
+            Say::Full => self.ended(who, Outcome::Full { no_state: false }, 0.0, LoadReport::default()),
+            Say::NoState => self.ended(who, Outcome::Full { no_state: true }, 0.0, LoadReport::default()),
         }
     }
 
--- a/crates/model/src/roles.rs
+++ b/crates/model/src/roles.rs
@@ -28,7 +28,8 @@
     demand: Demand,
     speeds: Speeds,
     pub(crate) counts: BTreeMap<String, Counts>,
-    pub(crate) changes: usize,
+    /// The orders that engines took: when, and why.
+    pub(crate) orders: Vec<(Duration, String)>,
     cold: Duration,
 }
 
@@ -57,7 +58,7 @@
             demand: Demand::default(),
             speeds: Speeds { read: reader.read_per_s, write: writer.write_per_s() },
             counts: BTreeMap::new(),
-            changes: 0,
+            orders: Vec::new(),
             cold: reader.cold_time,
         })
     }
@@ -86,7 +87,8 @@
             let Some(engine) = engines.iter_mut().find(|e| e.id == change.engine) else { continue };
             let order = Order { replaces: change.replaces, to: change.to };
             if engine.role.order(now, order).is_ok() {
-                (taken, self.changes) = (true, self.changes + 1);
+                taken = true;
+                self.orders.push((now, change.to_string()));
             }
         }
         taken
