An engine slower than its role has its own patience

Change: each engine keeps its own mean pace; the patience of an attempt goes by the larger of the two.

The test fails without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -104,6 +104,8 @@
     /// When it was last reached again after it could not be.
     returned: Option<Duration>,
     doublings: u32,
+    /// Its own mean pace, seconds a token; 0 until it is known.
+    pace: f64,
     /// Until when it is passed over for each class, as it was full.
     rests: Vec<Duration>,
     /// The bucket of a cold engine, tokens, as of `bucket_at`. It starts short by a chance part of a prompt:
@@ -637,20 +639,21 @@
         server.tokens += tokens;
         (server.out, server.waiting) = (server.out + 1.0, server.waiting + 1.0);
         server.since += prompt;
-        let role = server.role;
+        let (role, own_pace) = (server.role, server.pace);
         match cold_rate {
             Some(rate) => (server.bucket, server.bucket_at) = (server.bucket_level(now, rate) - prompt, now),
             None => self.note_borne(now, role, prompt),
         }
         out.push(Action::Send { request: id, engine, limit: None });
-        let patience = self.patience(role, prompt);
+        let patience = self.patience(role, own_pace, prompt);
         self.alarm(Alarm::Check(id, attempt), patience, out);
     }
 
-    /// How long an engine may say nothing at all under an attempt of this length.
-    fn patience(&self, role: Role, prompt: f64) -> Duration {
+    /// How long an engine may say nothing at all under an attempt of this length. One that is slower than its role
+    /// has its own time: its work would be cancelled just before it ends, again and again.
+    fn patience(&self, role: Role, own_pace: f64, prompt: f64) -> Duration {
         let Means { pace, deviation, .. } = self.means[role as usize];
-        let usual = (pace + PATIENCE_DEVIATIONS * deviation) * (prompt + FIXED_TOKENS);
+        let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * deviation) * (prompt + FIXED_TOKENS);
         MIN_PATIENCE.max(Duration::from_secs_f64(usual.min(LONGEST.as_secs_f64())))
     }
 
@@ -862,6 +865,7 @@
         server.doublings = server.doublings.saturating_sub(1);
         let Some((latency, prompt)) = sample else { return };
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
+        server.pace += if server.pace == 0.0 { pace } else { MEAN_WEIGHT * (pace - server.pace) };
         let means = &mut self.means[server.role as usize];
         means.deviation += MEAN_WEIGHT * ((pace - means.pace).abs() - means.deviation);
         means.pace += MEAN_WEIGHT * (pace - means.pace);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -736,3 +736,46 @@
         set.extend(timers(&out));
     }
 }
+
+/// A reader of half its role's speed and a queue: its reads were cancelled just before they ended, at twice the cost.
+#[test]
+fn a_slow_engine_has_its_own_time() {
+    let mut host =
+        Host::new(settings(Effect::Safe), 3, vec![engine(1, 0, 0), engine(2, 0, 0), engine(9, 1, 0)]);
+    let draining = |id: u64, drains: bool| Engine {
+        state: if drains { EngineState::Draining } else { EngineState::Ready },
+        ..engine(id, 0, 0)
+    };
+    let mut next = 0;
+    let mut read = |host: &mut Host, times: u64, latency: std::time::Duration| {
+        let mut last = Vec::new();
+        for _ in 0..times {
+            next += 1;
+            host.now += ms(10);
+            last = host.ask(request(next, 0));
+            let (request, report) = (RequestId(next), LoadReport::default());
+            let ended = Ended {
+                request,
+                attempt: 0,
+                outcome: Outcome::Read,
+                latency,
+                finished: false,
+                kept_tokens: 0.0,
+                report,
+            };
+            host.tell(Event::Ended(ended));
+            host.end(next, 1, Outcome::Ok);
+        }
+        last
+    };
+    host.list(Listing::Changes, vec![draining(1, true)]);
+    read(&mut host, 5, ms(3_000));
+    host.list(Listing::Changes, vec![draining(1, false), draining(2, true)]);
+    let fast = read(&mut host, 150, ms(50));
+    host.list(Listing::Changes, vec![draining(1, true), draining(2, false)]);
+    let slow = read(&mut host, 1, ms(3_000));
+    let patience = |out: &[Action]| timers(out).into_iter().map(|(_, after)| after).min();
+    assert_eq!((sent_to(&fast), sent_to(&slow)), (Some(1), Some(2)));
+    assert_eq!(patience(&fast), Some(ms(900)));
+    assert!(patience(&slow) >= Some(ms(3_000)), "{:?}", patience(&slow));
+}
