--- a/src/rules.rs
+++ b/src/rules.rs
@@ -649,8 +649,8 @@
         self.alarm(Alarm::Check(id, attempt), patience, out);
     }
 
-    /// How long an engine may say nothing at all under an attempt of this length. One slower than its role has its
-    /// own time: its work would be cancelled just before it ends, again and again.
+    /// How long an engine may say nothing at all under an attempt of this length. One slower than its role
+    /// has its own time: its work would be cancelled just before it ends, again and again.
     fn patience(&self, role: Role, own_pace: f64, prompt: f64) -> Duration {
         let Means { pace, deviation, .. } = self.means[role as usize];
         let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * deviation) * (prompt + FIXED_TOKENS);
