--- a/crates/cli/src/roles.rs
+++ b/crates/cli/src/roles.rs
@@ -124,6 +124,22 @@
     roles.freeze.as_ref().is_some_and(|f| f.exists())
 }
 
+/// The engines as a conductor takes them, cells and zones by number.
+fn watched(engines: &[EngineSite]) -> Vec<Watched> {
+    let (mut cells, mut zones) = (BTreeMap::new(), BTreeMap::new());
+    let number = |names: &mut BTreeMap<String, u32>, name: &str| {
+        let next = names.len() as u32;
+        *names.entry(name.to_owned()).or_insert(next)
+    };
+    let mut one = |e: &EngineSite| Watched {
+        id: engine_id(e.addr),
+        addr: e.addr,
+        cell: CellId(number(&mut cells, &e.cell)),
+        zone: ZoneId(number(&mut zones, &e.zone)),
+    };
+    engines.iter().map(&mut one).collect()
+}
+
 /// A conductor at work on a thread of its own.
 struct AtWork {
     seen: Seen,
@@ -137,18 +153,7 @@
     ) -> Result<AtWork, Failure> {
         let run = |e: std::io::Error| Failure::Run(e.to_string());
         let clock = Clock::start();
-        let (mut cells, mut zones) = (BTreeMap::new(), BTreeMap::new());
-        let number = |names: &mut BTreeMap<String, u32>, name: &str| {
-            let next = names.len() as u32;
-            *names.entry(name.to_owned()).or_insert(next)
-        };
-        let watched = |e: &EngineSite| Watched {
-            id: engine_id(e.addr),
-            addr: e.addr,
-            cell: CellId(number(&mut cells, &e.cell)),
-            zone: ZoneId(number(&mut zones, &e.zone)),
-        };
-        let watched: Vec<Watched> = engines.iter().map(watched).collect();
+        let watched = watched(engines);
         let mut limits = roles.limits;
         limits.frozen = is_frozen(roles);
         let conductor =
@@ -242,19 +247,35 @@
     let signals = Signals::watch()?;
     let work = AtWork::start(roles, &engines, false, |_, line| tracing::info!("{line}"))?;
     tracing::info!(engines = engines.len(), routers = roles.routers.len(), "conducting");
-    let mut frozen = is_frozen(roles);
+    let (mut frozen, mut unwritten, mut failed) = (is_frozen(roles), false, false);
+    let mut last =
+        roles.list.as_ref().and_then(|list| std::fs::read_to_string(list).ok()).unwrap_or_default();
     while !signals.stopped() && !work.thread.is_finished() {
         std::thread::sleep(LOOK);
         follow_freeze(roles, &work, &mut frozen);
-        if follow_roles(&mut engines, &work.seen()) {
-            if let Some(list) = &roles.list {
-                match write_whole(list, &engines_to_slices(&engines)) {
-                    Ok(()) => tracing::info!(list = %list.display(), "the list of engines was written"),
-                    Err(why) => {
-                        tracing::error!(list = %list.display(), %why, "the list can't be written; routers go by the old one")
-                    }
-                }
+        if let Some(list) = &roles.list {
+            // Somebody else has changed the list: engines that came or went are theirs to say.
+            let now = std::fs::read_to_string(list).ok().filter(|now| *now != last);
+            if let Some((now, others)) = now.and_then(|now| engines_from_slices(&now).ok().map(|e| (now, e)))
+            {
+                tracing::info!(engines = others.len(), "the list of engines has changed");
+                work.handle.tell(Command::News(NodeId(0), Arc::new(watched(&others))));
+                (engines, last) = (others, now);
+            }
+        }
+        unwritten |= follow_roles(&mut engines, &work.seen());
+        let Some(list) = roles.list.as_ref().filter(|_| unwritten) else { continue };
+        let text = engines_to_slices(&engines);
+        match write_whole(list, &text) {
+            Ok(()) => {
+                (last, unwritten, failed) = (text, false, false);
+                tracing::info!(list = %list.display(), "the list of engines was written");
+            }
+            // Tried again at the next look, and said once.
+            Err(why) if !std::mem::replace(&mut failed, true) => {
+                tracing::error!(list = %list.display(), %why, "the list can't be written; routers go by the old one");
             }
+            Err(_) => {}
         }
     }
     let (taken, turned) = work.stop()?;
@@ -267,10 +288,7 @@
     let mut changed = false;
     for e in engines.iter_mut() {
         let Some(s) = seen.iter().find(|s| s.id == engine_id(e.addr)) else { continue };
-        let state = match s.phase {
-            Phase::Changing(_) | Phase::Leaving => EngineState::Draining,
-            Phase::Serving | Phase::Warming => EngineState::Ready,
-        };
+        let state = if s.takes_work() { EngineState::Ready } else { EngineState::Draining };
         changed |= (e.role, e.state) != (s.role, state);
         (e.role, e.state) = (s.role, state);
     }
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -62,6 +62,8 @@
     holders: Vec<(EngineId, SocketAddr, usize)>,
     /// The attempt whose answer has begun.
     pub(crate) begun: Option<usize>,
+    /// It had begun before and broke, with nothing gone out.
+    anew: bool,
     /// It has its final answer, or its client has left.
     pub(crate) over: bool,
 }
@@ -108,6 +110,7 @@
             transfer: None,
             holders: Vec::new(),
             begun: None,
+            anew: false,
             over: false,
         }
     }
@@ -164,6 +167,11 @@
         (self.holders.len() < before).then_some(reader)
     }
 
+    /// Whether an answer to it had begun before and broke.
+    pub(crate) fn has_begun_before(&self) -> bool {
+        self.anew
+    }
+
     /// An attempt has ended after this time.
     pub(crate) fn worked(&mut self, latency: Duration) {
         self.worked += latency;
@@ -177,7 +185,7 @@
 
     /// Its answer broke before any of it went out: what came of it is dropped.
     pub(crate) fn begins_anew(&mut self) {
-        self.begun = None;
+        (self.begun, self.anew) = (None, true);
         self.writer.begins_anew();
     }
 
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -200,7 +200,10 @@
         if call.begun.is_none() && Writer::begins(chunk) {
             let taken = call.has_begun(attempt);
             let name = self.site.classes.get(call.class).map_or("", |c| &c.name);
-            self.gauges.first_token(name, now, call);
+            // Of a whole answer that begins anew the first beginning counts.
+            if !call.has_begun_before() {
+                self.gauges.first_token(name, now, call);
+            }
             self.pool.freed(taken);
             let latency = now.saturating_sub(call.attempts[attempt].sent);
             let (generation, conn, stream, whole_by) =
--- a/crates/model/src/roles.rs
+++ b/crates/model/src/roles.rs
@@ -4,15 +4,14 @@
 use crate::engine::Engine;
 use slipreel::{CellId, Role, ZoneId};
 use slipreel_day::Day;
-use slipreel_roles::{Costs, Demand, EngineView, Limits, Order, Phase, Planner, Policy, Speeds, View};
+use slipreel_roles::{
+    Costs, Demand, EngineView, Limits, Order, Phase, Planner, Policy, Speeds, View, KEPT_AT_FULL,
+};
 use slipreel_standin::engine::Role as SpecRole;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::time::Duration;
 
-/// Prompt tokens that an engine is taken to keep for each share of its memory in use, as the conductor takes it.
-const KEPT_AT_FULL: f64 = 50_000.0;
-
 /// What was asked of a class and what it took, as routers publish it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Counts {
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -20,7 +20,7 @@
 /// In this part of a round an engine answers, or is not in the view; no unit.
 const ANSWER_PART: f64 = 0.6;
 /// Prompt tokens that an engine is taken to keep for each share of its memory in use. No report tells them.
-const KEPT_AT_FULL: f64 = 50_000.0;
+pub const KEPT_AT_FULL: f64 = 50_000.0;
 
 /// Most work that an engine is taken to have; no unit. Its queue tells that it has too much, not how much.
 const MOST_BUSY: f64 = 1.25;
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -18,7 +18,7 @@
 mod program;
 mod record;
 
-pub use conductor::{Conductor, Freeze, Places, Watched};
+pub use conductor::{Conductor, Freeze, Places, Watched, KEPT_AT_FULL};
 pub use demand::{Demand, Speeds};
 pub use mix::{Mix, MixHistory};
 pub use planner::{Change, Costs, EngineView, Limits, Phase, Plan, Planner, Policy, View};
--- a/crates/roles/src/planner.rs
+++ b/crates/roles/src/planner.rs
@@ -88,6 +88,32 @@
     pub frozen: bool,
 }
 
+impl Default for Limits {
+    /// Starting values of operators who say nothing: the least that keeps every cell and zone working.
+    fn default() -> Self {
+        Limits {
+            in_flight: 2,
+            readers_in_cell: 1,
+            writers_in_cell: 1,
+            in_zone: 1,
+            least_time: Duration::from_secs(60),
+            frozen: false,
+        }
+    }
+}
+
+impl EngineView {
+    /// Whether the list is to tell routers that it takes new work.
+    pub fn takes_work(&self) -> bool {
+        matches!(self.phase, Phase::Serving | Phase::Warming)
+    }
+}
+
+impl Costs {
+    /// How long a drain is taken to last where operators say nothing.
+    pub const DRAIN: Duration = Duration::from_secs(5);
+}
+
 /// What a change costs.
 #[derive(Clone, Copy, Debug)]
 pub struct Costs {
--- a/crates/settings/src/roles.rs
+++ b/crates/settings/src/roles.rs
@@ -7,7 +7,6 @@
 use slipreel_roles::{Costs, Limits, Places, Policy, Speeds};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
 
 /// What a conductor is handed beside the list of engines.
 #[derive(Clone, Debug)]
@@ -85,20 +84,20 @@
 
 fn read_roles(doc: &mut Doc, at: usize, daemon: &Daemon) -> Option<RolesSite> {
     let here = Some(at);
-    let s = Duration::from_secs;
+    let start = Limits::default();
     let settings = &daemon.site.settings;
     let limits = Limits {
-        in_flight: doc.or(here, "in_flight", 2usize),
-        readers_in_cell: doc.or(here, "readers_in_cell", 1usize),
-        writers_in_cell: doc.or(here, "writers_in_cell", 1usize),
-        in_zone: doc.or(here, "in_zone", 1usize),
-        least_time: doc.or(here, "least_time", s(60)),
+        in_flight: doc.or(here, "in_flight", start.in_flight),
+        readers_in_cell: doc.or(here, "readers_in_cell", start.readers_in_cell),
+        writers_in_cell: doc.or(here, "writers_in_cell", start.writers_in_cell),
+        in_zone: doc.or(here, "in_zone", start.in_zone),
+        least_time: doc.or(here, "least_time", start.least_time),
         frozen: false,
     };
     let speeds = (doc.need::<Over0>(at, "read_per_s"), doc.need::<Over0>(at, "write_per_s"));
     let places = (doc.need::<Over0>(at, "read_places"), doc.need::<Over0>(at, "write_places"));
     let costs = Costs {
-        drain: doc.or(here, "drain", s(5)),
+        drain: doc.or(here, "drain", Costs::DRAIN),
         cold: settings.cold_time,
         cold_share: settings.cold_share,
         read_per_s: speeds.0.as_ref().map_or(1.0, |n| n.0),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,6 +11,8 @@
 
 /// Places that are kept for a key: enough that some of them are usable nearly always.
 const KEPT: usize = 12;
+/// Touched engines beyond twice the fleet before doubles are taken out.
+const TOUCHED: usize = 64;
 /// Keys for which they are kept, at most; then all are forgotten. Half a megabyte.
 const KEYS: usize = 4_096;
 
@@ -82,6 +84,11 @@
     /// Something of an engine has changed.
     pub(crate) fn touch(&mut self, id: EngineId) {
         self.touched.push(id);
+        // Probes of a router that nobody asks anything come in for days: each engine is to stand here once, then.
+        if self.touched.len() > 2 * self.everyone.len() + TOUCHED {
+            self.touched.sort_unstable();
+            self.touched.dedup();
+        }
     }
 
     /// The list has changed if `moved`.
@@ -621,6 +628,13 @@
         assert_eq!((shelf.position(EngineId(4)), shelf.position(EngineId(9))), (Some(3), None));
     }
 
+    #[test]
+    fn an_engine_touched_for_days_takes_no_more_room() {
+        let mut fleet = Fleet::default();
+        (0..100_000).for_each(|n| fleet.touch(EngineId(n % 3)));
+        assert!(fleet.touched.len() <= TOUCHED + 1, "{}", fleet.touched.len());
+    }
+
     #[test]
     fn what_is_due_comes_once_and_by_its_last_time() {
         let (mut dues, ms) = (Dues::default(), Duration::from_millis);
