Timers, pool, clients' connections and letting go move below the front; settings become a library

Need: the platform's protocol shares these with the front, and adapter and router are to read settings by one library.

--- a/src/bin/slipreel-adapter/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,11 +2,10 @@
 
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
-use settings::Column;
 use slipreel::Router;
+use slipreel_profile::{self as settings, Column};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
--- a/src/bin/slipreel-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's wire: frames of big-endian records turned into events, and actions into records.
 
-use crate::settings::Column;
 use slipreel::*;
+use slipreel_profile::Column;
 use std::fmt;
 use std::io::{self, Read};
 use std::time::Duration;
--- a/crates/front/benches/front.rs
+++ b/crates/front/benches/front.rs
@@ -2,7 +2,8 @@
 //! against a heap, and the module's part of it. No sockets: the system's part is not in these figures.
 
 use slipreel_front::site::*;
-use slipreel_front::{Front, Site, Wheel};
+use slipreel_front::{Front, Site};
+use slipreel_links::Wheel;
 use slipreel_machine::{ConnId, Door, Input, Machine, Output};
 use slipreel_protocol::http::chunk;
 use std::cmp::Reverse;
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -4,7 +4,7 @@
 use crate::front::{Alarm, Decided, Front};
 use crate::limits;
 use crate::link::{Link, State, Use};
-use crate::pool::{Errand, Slot};
+use slipreel_links::{Errand, Slot};
 use slipreel::{Action, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId};
 use slipreel_machine::{ConnId, Output};
 use slipreel_protocol::engine::{self, Load};
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,15 +1,12 @@
 //! The front as a machine: takes inputs in turn, fires timers, and lets the module decide until nothing is left.
 
 use crate::call::{Call, Final};
-use crate::client::{Client, State as ClientState};
 use crate::gauges::{Gauges, Now};
-use crate::letgo::LetGo;
 use crate::limits;
 use crate::link::{Link, State as LinkState, Use};
 use crate::members::Members;
-use crate::pool::Pool;
 use crate::site::{EngineSite, Site};
-use crate::wheel::{TimerKey, Wheel};
+use slipreel_links::{Client, LetGo, Pool, State as ClientState, TimerKey, Wheel};
 use slipreel::{Action, EngineId, Event, Listing, RequestId, Router, TimerId};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
 use std::collections::{BTreeMap, HashMap, VecDeque};
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,13 +3,14 @@
 //! A [`Front`] is a [`Machine`](slipreel_machine::Machine). It holds `slipreel::Router`, tells it what happens and
 //! carries out what it decides. Two fronts in one process share nothing. A request's way through the files:
 //!
-//! 1. `client`: bytes become one whole request of HTTP;
+//! 1. `Client` of `slipreel-links`: bytes become one whole request of HTTP;
 //! 2. `serve`: its path is looked up, and `classify` reads off it what the module is told;
-//! 3. `carry`: the module's actions become attempts (`call`) on connections (`pool`, `link`);
+//! 3. `carry`: the module's actions become attempts (`call`) on connections (`Pool` of `slipreel-links`, `link`);
 //! 4. `engines`: what the engines say becomes events for the module and, by `translate`, the answer;
 //! 5. `serve`: the one final answer is written.
 //!
-//! `letgo` is what readers have to be told to let go of, `verdict` says what an engine's refusal proves, `limits` is what the front itself bounds, `members` the list of engines, `wheel` the timers, `site` the settings.
+//! `verdict` says what an engine's refusal proves, `limits` is what the front itself bounds, `members` the list of
+//! engines, `site` the settings.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -17,23 +18,18 @@
 mod call;
 mod carry;
 mod classify;
-mod client;
 mod engines;
 mod front;
 mod gauges;
-mod letgo;
 mod limits;
 mod link;
 mod members;
-mod pool;
 mod serve;
 pub mod site;
 mod translate;
 mod verdict;
-mod wheel;
 
 pub use call::Final;
 pub use front::{Front, Tally};
 pub use members::engine_id;
 pub use site::Site;
-pub use wheel::{TimerKey, Wheel};
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{Call, Final, NewCall};
 use crate::classify;
-use crate::client::{Received, State};
+use slipreel_links::{Received, State};
 use crate::front::Front;
 use crate::gauges::{self, Why};
 use crate::limits::{self, Turned};
--- a/crates/front/src/client.rs
+++ b/crates/links/src/client.rs
@@ -9,7 +9,7 @@
 
 /// Where a connection stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum State {
+pub enum State {
     /// Between requests.
     Idle,
     /// Some of a request has come.
@@ -20,21 +20,32 @@
 
 /// A whole request.
 #[derive(Debug)]
-pub(crate) struct Received {
-    pub(crate) head: Head,
-    pub(crate) body: Vec<u8>,
+pub struct Received {
+    /// Its head.
+    pub head: Head,
+    /// Its body, framing taken off.
+    pub body: Vec<u8>,
 }
 
 impl Received {
-    pub(crate) fn method(&self) -> &str {
+    /// Its method, as sent.
+    pub fn method(&self) -> &str {
         match &self.head.start {
             Start::Request { method, .. } => method,
             Start::Response { .. } => "",
         }
     }
 
+    /// Its target, as sent.
+    pub fn target(&self) -> &str {
+        match &self.head.start {
+            Start::Request { target, .. } => target,
+            Start::Response { .. } => "",
+        }
+    }
+
     /// The target's path without its query.
-    pub(crate) fn path(&self) -> &str {
+    pub fn path(&self) -> &str {
         match &self.head.start {
             Start::Request { target, .. } => http::path_of(target).unwrap_or(target),
             Start::Response { .. } => "",
@@ -44,30 +55,34 @@
 
 /// One client connection.
 #[derive(Debug)]
-pub(crate) struct Client {
-    pub(crate) conn: ConnId,
+pub struct Client {
+    /// Its number.
+    pub conn: ConnId,
     /// Where it came in.
-    pub(crate) door: Door,
-    pub(crate) state: State,
+    pub door: Door,
+    /// Where it stands.
+    pub state: State,
     decoder: Decoder,
     head: Option<Head>,
     body: Vec<u8>,
     /// Whether the connection stays open after the present answer.
     keep: bool,
     /// Written and not yet gone.
-    pub(crate) unsent: usize,
+    pub unsent: usize,
     /// When some of it last went.
-    pub(crate) moved: Duration,
+    pub moved: Duration,
     /// Since when the present state lasts: its time-out counts from here.
-    pub(crate) since: Duration,
-    pub(crate) eof: bool,
+    pub since: Duration,
+    /// It sends no more.
+    pub eof: bool,
     /// No more data is wanted: pipelined requests fill the buffer.
     paused: bool,
     most_ahead: usize,
 }
 
 impl Client {
-    pub(crate) fn new(conn: ConnId, door: Door, now: Duration, limits: Limits, most_ahead: usize) -> Self {
+    /// A connection that has just been accepted. `most_ahead`: bytes of pipelined requests that may wait.
+    pub fn new(conn: ConnId, door: Door, now: Duration, limits: Limits, most_ahead: usize) -> Self {
         Client {
             conn,
             door,
@@ -86,7 +101,7 @@
     }
 
     /// Takes bytes. While a request is served they wait, up to a bound; then the connection is paused.
-    pub(crate) fn feed(&mut self, now: Duration, bytes: &[u8], out: &mut Vec<Output>) {
+    pub fn feed(&mut self, now: Duration, bytes: &[u8], out: &mut Vec<Output>) {
         self.decoder.feed(bytes);
         if self.state == State::Idle {
             (self.state, self.since) = (State::Receiving, now);
@@ -99,7 +114,10 @@
     }
 
     /// The next whole request, if the bytes so far hold one and none is being served.
-    pub(crate) fn receive(
+    ///
+    /// # Errors
+    /// What has come is no request of HTTP/1.1, or over a limit.
+    pub fn receive(
         &mut self, now: Duration, out: &mut Vec<Output>,
     ) -> Result<Option<Received>, Malformed> {
         if matches!(self.state, State::Serving(_)) {
@@ -126,7 +144,8 @@
         Ok(None)
     }
 
-    pub(crate) fn write(&mut self, bytes: Vec<u8>, out: &mut Vec<Output>) {
+    /// Writes bytes of an answer, and counts them until they have gone.
+    pub fn write(&mut self, bytes: Vec<u8>, out: &mut Vec<Output>) {
         if !bytes.is_empty() {
             self.unsent += bytes.len();
             out.push(Output::Write(self.conn, bytes));
@@ -134,7 +153,7 @@
     }
 
     /// Writes a whole answer. `done` has to follow.
-    pub(crate) fn answer(
+    pub fn answer(
         &mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
     ) {
         let connection = if self.keep { "keep-alive" } else { "close" };
@@ -149,7 +168,7 @@
     }
 
     /// Writes the head of a streamed answer.
-    pub(crate) fn begin_stream(&mut self, fields: &[(&str, &str)], out: &mut Vec<Output>) {
+    pub fn begin_stream(&mut self, fields: &[(&str, &str)], out: &mut Vec<Output>) {
         let connection = if self.keep { "keep-alive" } else { "close" };
         let mut all = vec![
             ("content-type", "text/event-stream"),
@@ -161,12 +180,12 @@
     }
 
     /// The present answer is the last on this connection.
-    pub(crate) fn last_answer(&mut self) {
+    pub fn last_answer(&mut self) {
         self.keep = false;
     }
 
     /// The answer is written: the next request may be read, or the connection ends. Whether it goes on.
-    pub(crate) fn done(&mut self, now: Duration, out: &mut Vec<Output>) -> bool {
+    pub fn done(&mut self, now: Duration, out: &mut Vec<Output>) -> bool {
         if !self.keep || (self.eof && self.decoder.idle()) {
             out.push(Output::Finish(self.conn));
             return false;
--- a/crates/front/src/letgo.rs
+++ b/crates/links/src/letgo.rs
@@ -12,20 +12,22 @@
 
 /// State that an engine is to let go of.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Word {
-    pub(crate) engine: EngineId,
-    pub(crate) addr: SocketAddr,
+pub struct Word {
+    /// Who holds it.
+    pub engine: EngineId,
+    /// Where that is.
+    pub addr: SocketAddr,
     /// What the engine knows the state by.
-    pub(crate) name: String,
+    pub name: String,
     /// How often it was tried.
-    pub(crate) told: u32,
+    pub told: u32,
     /// It is on its way on a connection that has answered before: nothing faster can be done.
     said: bool,
 }
 
 /// What has not been heard, by a number of its own and by engine.
 #[derive(Debug, Default)]
-pub(crate) struct LetGo {
+pub struct LetGo {
     words: BTreeMap<u64, Word>,
     by_engine: BTreeMap<EngineId, Lane>,
     next: u64,
@@ -40,7 +42,7 @@
 
 impl LetGo {
     /// State that its holder has to be told of. Gives the word's number.
-    pub(crate) fn add(&mut self, engine: EngineId, addr: SocketAddr, name: String) -> u64 {
+    pub fn add(&mut self, engine: EngineId, addr: SocketAddr, name: String) -> u64 {
         self.next += 1;
         self.by_engine.entry(engine).or_default().words.insert(self.next);
         self.words.insert(self.next, Word { engine, addr, name, told: 0, said: false });
@@ -48,7 +50,7 @@
     }
 
     /// A word that is tried now; `None` if it was heard. `most`: after so many tries it is dropped.
-    pub(crate) fn tell(&mut self, n: u64, most: u32) -> Option<Word> {
+    pub fn tell(&mut self, n: u64, most: u32) -> Option<Word> {
         let word = self.words.get_mut(&n)?;
         if word.told >= most {
             self.heard(n);
@@ -59,14 +61,14 @@
     }
 
     /// It goes out on a connection that has answered before.
-    pub(crate) fn said(&mut self, n: u64) {
+    pub fn said(&mut self, n: u64) {
         if let Some(word) = self.words.get_mut(&n) {
             word.said = true;
         }
     }
 
     /// An engine has heard it.
-    pub(crate) fn heard(&mut self, n: u64) {
+    pub fn heard(&mut self, n: u64) {
         let Some(word) = self.words.remove(&n) else { return };
         if let Some(lane) = self.by_engine.get_mut(&word.engine) {
             lane.words.remove(&n);
@@ -75,19 +77,19 @@
     }
 
     /// How many words have not been heard.
-    pub(crate) fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.words.len()
     }
 
     /// The oldest word for an engine, to be said on a connection that has just fallen idle.
-    pub(crate) fn waits(&self, engine: EngineId) -> Option<u64> {
+    pub fn waits(&self, engine: EngineId) -> Option<u64> {
         let unsaid = |n: &&u64| self.words.get(n).is_some_and(|w| !w.said);
         self.by_engine.get(&engine)?.words.iter().find(unsaid).copied()
     }
 
     /// Whether one more connection may be opened to say what an engine has to hear: one at a time every `step`, so that
     /// a fresh one is at hand when a link is back, and hundreds of words open no hundreds of connections.
-    pub(crate) fn may_open(&mut self, engine: EngineId, now: Duration, step: Duration) -> bool {
+    pub fn may_open(&mut self, engine: EngineId, now: Duration, step: Duration) -> bool {
         let Some(lane) = self.by_engine.get_mut(&engine) else { return false };
         let may = lane.opened.is_none_or(|at| now >= at + step);
         if may {
--- a/crates/front/src/pool.rs
+++ b/crates/links/src/pool.rs
@@ -9,8 +9,10 @@
 
 /// What a connection is wanted for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Errand {
+pub enum Errand {
+    /// To send a request.
     Attempt,
+    /// To ask for load or health.
     Probe,
     /// To let go of state.
     Word,
@@ -18,7 +20,7 @@
 
 /// Where an exchange may go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Slot {
+pub enum Slot {
     /// An idle connection.
     Idle(ConnId),
     /// A new one may be opened.
@@ -37,14 +39,14 @@
 
 /// The connections to all engines, by engine.
 #[derive(Debug, Default)]
-pub(crate) struct Pool {
+pub struct Pool {
     lanes: BTreeMap<EngineId, Lane>,
 }
 
 impl Pool {
     /// Takes a place for an exchange. A probe or word may go one over the bound, so that an engine all of whose
     /// connections hang can still be asked how it is.
-    pub(crate) fn take(&mut self, engine: EngineId, most: usize, what: Errand) -> Slot {
+    pub fn take(&mut self, engine: EngineId, most: usize, what: Errand) -> Slot {
         let lane = self.lanes.entry(engine).or_default();
         let most = most + usize::from(what != Errand::Attempt);
         let kept_back = what != Errand::Word && lane.held > 0 && lane.idle.len() == 1 && lane.open < most;
@@ -59,7 +61,7 @@
     }
 
     /// Gives a connection back after its exchange. False if it is to be closed: enough are idle.
-    pub(crate) fn put(&mut self, engine: EngineId, conn: ConnId, most_idle: usize) -> bool {
+    pub fn put(&mut self, engine: EngineId, conn: ConnId, most_idle: usize) -> bool {
         let lane = self.lanes.entry(engine).or_default();
         let keeps = lane.idle.len() < most_idle;
         if keeps {
@@ -69,7 +71,7 @@
     }
 
     /// A connection is gone, idle or not.
-    pub(crate) fn gone(&mut self, engine: EngineId, conn: ConnId) {
+    pub fn gone(&mut self, engine: EngineId, conn: ConnId) {
         let Some(lane) = self.lanes.get_mut(&engine) else { return };
         lane.open = lane.open.saturating_sub(1);
         lane.idle.retain(|&c| c != conn);
@@ -79,12 +81,12 @@
     }
 
     /// An engine may hold one more state.
-    pub(crate) fn holds(&mut self, engine: EngineId) {
+    pub fn holds(&mut self, engine: EngineId) {
         self.lanes.entry(engine).or_default().held += 1;
     }
 
     /// It holds one state less, if it is named.
-    pub(crate) fn freed(&mut self, engine: Option<EngineId>) {
+    pub fn freed(&mut self, engine: Option<EngineId>) {
         let Some(lane) = engine.and_then(|e| self.lanes.get_mut(&e)) else { return };
         lane.held = lane.held.saturating_sub(1);
         if let Some(engine) = engine.filter(|_| lane.open == 0 && lane.held == 0) {
@@ -93,17 +95,17 @@
     }
 
     /// Whether the last idle connection to an engine is to stay, whatever its age.
-    pub(crate) fn keeps(&self, engine: EngineId) -> bool {
+    pub fn keeps(&self, engine: EngineId) -> bool {
         self.lanes.get(&engine).is_some_and(|l| l.held > 0 && l.idle.len() == 1)
     }
 
     /// Whether a connection to an engine stands idle.
-    pub(crate) fn has_idle(&self, engine: EngineId) -> bool {
+    pub fn has_idle(&self, engine: EngineId) -> bool {
         self.lanes.get(&engine).is_some_and(|l| !l.idle.is_empty())
     }
 
     /// The idle connections to an engine.
-    pub(crate) fn idle(&self, engine: EngineId) -> Vec<ConnId> {
+    pub fn idle(&self, engine: EngineId) -> Vec<ConnId> {
         self.lanes.get(&engine).map(|l| l.idle.clone()).unwrap_or_default()
     }
 
--- a/src/bin/slipreel-adapter/settings.rs
+++ b/crates/profile/src/lib.rs
@@ -1,4 +1,9 @@
-//! The settings of an instance: `path=value` lines turned into [`Settings`].
+//! The settings of a router by the platform's names. The simulator hands them over as `path=value` lines, a real
+//! router finds the same object as nested JSON in its configuration; both come to the same pairs and are read here
+//! once. Nothing here decides anything.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use slipreel::{Class, Effect, Group, Limits, ReportSource, Role, Settings, Tenant, ZoneId};
 use std::collections::BTreeMap;
@@ -28,12 +33,37 @@
     pub settings: Settings,
     /// The meaning of each report value, in order.
     pub columns: Vec<Column>,
+    /// The names of those values, in the same order.
+    pub column_names: Vec<String>,
+    /// The names of classes, tenants, kinds of engine and zones, each in the order by which the module numbers them.
+    pub classes: Vec<String>,
+    /// See `classes`.
+    pub tenants: Vec<String>,
+    /// See `classes`.
+    pub kinds: Vec<String>,
+    /// See `classes`.
+    pub zones: Vec<String>,
+    /// Engines close a connection that has stood idle for so long, at the latest; `None` if that is not told.
+    pub idle_close: Option<Duration>,
+}
+
+/// A name as the pairs hold it: blanks and commas turned into `_`.
+pub fn as_named(name: &str) -> String {
+    name.replace([' ', ','], "_")
 }
 
 /// A value that is missing where none is safe, or that can't be read: the key's name and why.
 #[derive(Debug, PartialEq, Eq)]
 pub struct BadSetting(pub String);
 
+impl std::fmt::Display for BadSetting {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "setting {}", self.0)
+    }
+}
+
+impl std::error::Error for BadSetting {}
+
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
 impl<'a> Pairs<'a> {
@@ -91,11 +121,52 @@
 
 /// Reads the settings. Keys that are not known are skipped. A missing key gets a neutral value (no
 /// permission, no limit, no share) except where none is safe: the classes and the engines' roles.
+///
+/// # Errors
+/// A value that is missing where none is safe, or can't be read.
 pub fn parse(text: &str) -> Result<Profile, BadSetting> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.trim_end().split_once('=')).collect());
+    read(&Pairs(text.lines().filter_map(|line| line.trim_end().split_once('=')).collect()))
+}
+
+/// Reads the settings from nested JSON: the same names and units, each level a part of the path.
+///
+/// # Errors
+/// As [`parse`]; or it is no object.
+pub fn from_json(value: &serde_json::Value) -> Result<Profile, BadSetting> {
+    if !value.is_object() {
+        return Err(BadSetting("settings: expected an object".into()));
+    }
+    let mut lines = Vec::new();
+    flatten("", value, &mut lines);
+    read(&Pairs(lines.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect()))
+}
+
+/// Appends the pairs of a value: lists of plain values joined by commas, lists of objects counted and numbered.
+fn flatten(path: &str, value: &serde_json::Value, out: &mut Vec<(String, String)>) {
+    use serde_json::Value;
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    let plain = |value: &Value| match value {
+        Value::String(text) => as_named(text),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&under(name), v, out)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            out.push((under("count"), items.len().to_string()));
+            items.iter().enumerate().for_each(|(i, v)| flatten(&under(&i.to_string()), v, out));
+        }
+        Value::Array(items) => {
+            out.push((path.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(",")));
+        }
+        one => out.push((path.to_owned(), plain(one))),
+    }
+}
+
+fn read(pairs: &Pairs) -> Result<Profile, BadSetting> {
     let stretch = pairs.numbers("extra.aim_us_per_1000_prompt_tokens")?;
     let classes = (0..pairs.count("classes.count", None)?)
-        .map(|i| class(&pairs, i as usize, &stretch))
+        .map(|i| class(pairs, i as usize, &stretch))
         .collect::<Result<Vec<_>, _>>()?;
     let tenants = (0..pairs.count("customers.count", Some(0.0))?)
         .map(|i| {
@@ -151,8 +222,21 @@
         cold_time: pairs.millis("rules.cold", Some(0.0))?,
         let_go_within: pairs.millis("extra.let_go_by", Some(0.0))?,
     };
-    let columns = pairs.list("report.columns").into_iter().map(|name| column(&pairs, name)).collect();
-    Ok(Profile { settings, columns })
+    let names = |key: &str| pairs.list(key).into_iter().map(str::to_owned).collect::<Vec<_>>();
+    let column_names = names("report.columns");
+    let named = |list: &str, n: usize| {
+        (0..n).map(|i| pairs.get(&format!("{list}.{i}.name")).unwrap_or("").to_owned()).collect::<Vec<_>>()
+    };
+    Ok(Profile {
+        columns: column_names.iter().map(|name| column(pairs, name)).collect(),
+        column_names,
+        classes: named("classes", settings.classes.len()),
+        tenants: named("customers", settings.tenants.len()),
+        kinds: names("host_types"),
+        zones: names("azs"),
+        idle_close: pairs.get("limits.idle_close").map(|_| pairs.millis("limits.idle_close", None)).transpose()?,
+        settings,
+    })
 }
 
 fn class(pairs: &Pairs, i: usize, stretch: &[f64]) -> Result<Class, BadSetting> {
@@ -203,6 +287,28 @@
     const LEAST: &str =
         "classes.count=1\nclasses.0.target=800\nclasses.0.worth=2\nextra.role_by_kind=read,write\n";
 
+    #[test]
+    fn nested_json_comes_to_the_same_pairs() {
+        let json = serde_json::json!({
+            "azs": ["hall a", "b"], "host_types": ["m1", "m2"], "tick": 4.0,
+            "classes": [{"name": "quick, check", "target": 800.0, "worth": 2, "streaming": true}],
+            "customers": [{"name": "guild", "quota_per_s": 3.5}],
+            "extra": {"role_by_kind": ["read", "write"], "let_go_by": 500.0},
+            "report": {"columns": ["x1", "pending"], "source": "piggyback"},
+            "limits": {"idle_close": 15000.0, "may_probe": true},
+        });
+        let lines = "azs=hall_a,b\nhost_types=m1,m2\ntick=4.0\nclasses.count=1\nclasses.0.name=quick__check\n\
+                     classes.0.target=800.0\nclasses.0.worth=2\nclasses.0.streaming=true\ncustomers.count=1\n\
+                     customers.0.name=guild\ncustomers.0.quota_per_s=3.5\nextra.role_by_kind=read,write\n\
+                     extra.let_go_by=500.0\nreport.columns=x1,pending\nreport.source=piggyback\n\
+                     limits.idle_close=15000.0\nlimits.may_probe=true\n";
+        let (one, other) = (from_json(&json).unwrap(), parse(lines).unwrap());
+        assert_eq!(format!("{one:?}"), format!("{other:?}"));
+        assert_eq!((one.classes[0].as_str(), one.zones[0].as_str()), ("quick__check", "hall_a"));
+        assert_eq!(one.idle_close, Some(Duration::from_secs(15)));
+        assert!(from_json(&serde_json::json!([])).is_err());
+    }
+
     #[test]
     fn missing_keys_get_neutral_values() {
         let profile = parse(LEAST).unwrap();
