--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -22,7 +22,8 @@
 
 pub(crate) fn run() -> Outcome {
     let file = std::env::var_os(CONFIG).filter(|v| !v.is_empty());
-    let file = file.ok_or_else(|| Failure::Input(format!("{CONFIG}: expected the path of the configuration file")))?;
+    let file =
+        file.ok_or_else(|| Failure::Input(format!("{CONFIG}: expected the path of the configuration file")))?;
     let file = PathBuf::from(file);
     let config = read(&file)?;
     logs::start(slipreel_settings::LogFormat::Text, "info");
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -4,8 +4,8 @@
 use crate::front::{Alarm, Decided, Front};
 use crate::limits;
 use crate::link::{Link, State, Use};
-use slipreel_links::{Errand, Slot};
 use slipreel::{Action, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId};
+use slipreel_links::{Errand, Slot};
 use slipreel_machine::{ConnId, Output};
 use slipreel_protocol::engine::{self, Load};
 use slipreel_protocol::http::{self, Framing};
@@ -79,7 +79,7 @@
             Use::Probe => Errand::Probe,
             Use::Abort(_) => Errand::Word,
         };
-        let conn = match self.pool.take(engine, self.site.bounds.per_engine, errand) {
+        let conn = match self.pool.take(engine, self.site.bounds.per_engine, errand, self.now) {
             Slot::Full => return None,
             Slot::Idle(conn) => {
                 let link = self.links.get_mut(&conn)?;
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -171,7 +171,7 @@
             out.push(Output::Resume(conn));
         }
         let reusable = link.reusable;
-        if reusable && self.pool.put(engine, conn, most) {
+        if reusable && self.pool.put(engine, conn, most, now) {
             self.arm_link(conn);
             if let Some(n) = self.letting_go.waits(engine) {
                 self.say(n, out);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -2,12 +2,12 @@
 
 use crate::call::{Call, Final, NewCall};
 use crate::classify;
-use slipreel_links::{Received, State};
 use crate::front::Front;
 use crate::gauges::{self, Why};
 use crate::limits::{self, Turned};
 use serde_json::json;
 use slipreel::{Event, Outcome, RequestId};
+use slipreel_links::{Received, State};
 use slipreel_machine::{ConnId, Door, Output};
 use slipreel_protocol::http::{self, Malformed};
 use slipreel_protocol::messages::{Ask, ErrorKind, Fault};
--- a/crates/links/src/client.rs
+++ b/crates/links/src/client.rs
@@ -117,9 +117,7 @@
     ///
     /// # Errors
     /// What has come is no request of HTTP/1.1, or over a limit.
-    pub fn receive(
-        &mut self, now: Duration, out: &mut Vec<Output>,
-    ) -> Result<Option<Received>, Malformed> {
+    pub fn receive(&mut self, now: Duration, out: &mut Vec<Output>) -> Result<Option<Received>, Malformed> {
         if matches!(self.state, State::Serving(_)) {
             return Ok(None);
         }
@@ -153,9 +151,7 @@
     }
 
     /// Writes a whole answer. `done` has to follow.
-    pub fn answer(
-        &mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
-    ) {
+    pub fn answer(&mut self, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
         let connection = if self.keep { "keep-alive" } else { "close" };
         let mut all = vec![("connection", connection)];
         if !fields.iter().any(|(name, _)| *name == "content-type") {
--- a/crates/links/src/letgo.rs
+++ b/crates/links/src/letgo.rs
@@ -23,6 +23,8 @@
     pub told: u32,
     /// It is on its way on a connection that has answered before: nothing faster can be done.
     said: bool,
+    /// Heard once it is said once more: the state may come to be after the first was heard.
+    twice: bool,
 }
 
 /// What has not been heard, by a number of its own and by engine.
@@ -45,7 +47,7 @@
     pub fn add(&mut self, engine: EngineId, addr: SocketAddr, name: String) -> u64 {
         self.next += 1;
         self.by_engine.entry(engine).or_default().words.insert(self.next);
-        self.words.insert(self.next, Word { engine, addr, name, told: 0, said: false });
+        self.words.insert(self.next, Word { engine, addr, name, told: 0, said: false, twice: false });
         self.next
     }
 
@@ -53,7 +55,7 @@
     pub fn tell(&mut self, n: u64, most: u32) -> Option<Word> {
         let word = self.words.get_mut(&n)?;
         if word.told >= most {
-            self.heard(n);
+            self.drop_word(n);
             return None;
         }
         (word.told, word.said) = (word.told + 1, false);
@@ -67,8 +69,23 @@
         }
     }
 
+    /// It is to be heard twice: what it lets go of may come to be a moment from now.
+    pub fn say_twice(&mut self, n: u64) {
+        if let Some(word) = self.words.get_mut(&n) {
+            word.twice = true;
+        }
+    }
+
     /// An engine has heard it.
     pub fn heard(&mut self, n: u64) {
+        if let Some(word) = self.words.get_mut(&n).filter(|w| w.twice) {
+            (word.twice, word.said) = (false, true);
+            return;
+        }
+        self.drop_word(n);
+    }
+
+    fn drop_word(&mut self, n: u64) {
         let Some(word) = self.words.remove(&n) else { return };
         if let Some(lane) = self.by_engine.get_mut(&word.engine) {
             lane.words.remove(&n);
@@ -79,7 +96,7 @@
     /// Takes back a word that has not been heard. Gives who was to be told.
     pub fn take_back(&mut self, n: u64) -> Option<EngineId> {
         let engine = self.words.get(&n)?.engine;
-        self.heard(n);
+        self.drop_word(n);
         Some(engine)
     }
 
@@ -140,6 +157,19 @@
         assert!(all.words.is_empty() && all.by_engine.is_empty(), "nothing is kept");
     }
 
+    #[test]
+    fn a_word_that_is_to_be_heard_twice_waits_for_its_second_time() {
+        let (mut all, addr, engine) = (LetGo::default(), SocketAddr::from(([127, 0, 0, 1], 1)), EngineId(4));
+        let n = all.add(engine, addr, "a".into());
+        all.say_twice(n);
+        assert!(all.tell(n, 9).is_some());
+        all.heard(n);
+        assert_eq!((all.len(), all.waits(engine)), (1, None), "not before its time");
+        assert!(all.tell(n, 9).is_some());
+        all.heard(n);
+        assert!(all.is_empty() && all.by_engine.is_empty());
+    }
+
     #[test]
     fn few_connections_are_opened_for_many_words() {
         let (mut all, addr, engine) = (LetGo::default(), SocketAddr::from(([127, 0, 0, 1], 1)), EngineId(4));
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -63,7 +63,10 @@
         }
     };
     let Some(name) = once("x-request-id")? else { return bad("X-Request-Id: missing") };
-    if name.len() > room::NAME || !name.bytes().all(|b| b.is_ascii_graphic()) || name.contains(['/', '?', '#', '%']) {
+    if name.len() > room::NAME
+        || !name.bytes().all(|b| b.is_ascii_graphic())
+        || name.contains(['/', '?', '#', '%'])
+    {
         return bad("X-Request-Id: expected up to 128 visible characters");
     }
     let class = once("x-class")?.unwrap_or_default();
@@ -131,14 +134,17 @@
 
     fn received(fields: &str) -> Received {
         let mut client = Client::new(ConnId(1), Door(0), Duration::ZERO, Limits::default(), 1000);
-        let text = format!("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n{fields}Content-Length: 8\r\n\r\n12345678");
+        let text = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n{fields}Content-Length: 8\r\n\r\n12345678"
+        );
         client.feed(Duration::ZERO, text.as_bytes(), &mut Vec::new());
         let received = client.receive(Duration::ZERO, &mut Vec::new()).unwrap().unwrap();
         assert_eq!(client.state, State::Serving(None));
         received
     }
 
-    const GOOD: &str = "X-Request-Id: 9b1f\r\nX-Class: recap\r\nX-Tenant: acme\r\nX-Key: 10\r\nX-Deadline: 4800m\r\n\
+    const GOOD: &str =
+        "X-Request-Id: 9b1f\r\nX-Class: recap\r\nX-Tenant: acme\r\nX-Key: 10\r\nX-Deadline: 4800m\r\n\
                         X-Extras: prefix=5c0f6e1a2b3d4c59,prompt_len=5120,prefix_len=2048,max_out=800\r\n";
 
     #[test]
@@ -146,7 +152,10 @@
         let ask = read(&profile(), &received(GOOD)).unwrap();
         let r = &ask.request;
         assert_eq!((ask.name.as_str(), r.class, r.tenant, r.session), ("9b1f", ClassId(1), TenantId(0), 16));
-        assert_eq!((r.shared_prefix, r.prompt_tokens, r.max_output_tokens), (Some(0x5c0f_6e1a_2b3d_4c59), 5120.0, 800.0));
+        assert_eq!(
+            (r.shared_prefix, r.prompt_tokens, r.max_output_tokens),
+            (Some(0x5c0f_6e1a_2b3d_4c59), 5120.0, 800.0)
+        );
         assert_eq!((r.time_left, r.repeat), (Duration::from_millis(4800), false));
         let more = format!("{GOOD}X-Retry: 1\r\n").replace("4800m", "1500u");
         let ask = read(&profile(), &received(&more)).unwrap();
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -18,6 +18,8 @@
     pub(crate) out: bool,
     /// Whether state may be held for it: it was a read that has come to an engine.
     holds: bool,
+    /// It ended without its engine's word.
+    unsure: bool,
 }
 
 /// A request under way.
@@ -71,7 +73,9 @@
     }
 
     /// Adds an attempt and gives its number and the request to write.
-    pub(crate) fn send(&mut self, now: Duration, engine: EngineId, addr: SocketAddr, reads: bool) -> (usize, Vec<u8>) {
+    pub(crate) fn send(
+        &mut self, now: Duration, engine: EngineId, addr: SocketAddr, reads: bool,
+    ) -> (usize, Vec<u8>) {
         let left = self.deadline.saturating_sub(now).as_micros();
         let (host, left) = (addr.to_string(), format!("{left}u"));
         let mut fields = vec![("host", host.as_str()), ("x-request-id", &self.name), ("x-deadline", &left)];
@@ -81,7 +85,7 @@
         let mut bytes =
             http::request_head(&self.method, &self.target, &fields, Framing::Length(self.body.len()));
         bytes.extend_from_slice(&self.body);
-        self.attempts.push(Attempt { engine, conn: None, sent: now, out: true, holds: reads });
+        self.attempts.push(Attempt { engine, conn: None, sent: now, out: true, holds: reads, unsure: false });
         (self.attempts.len() - 1, bytes)
     }
 
@@ -89,6 +93,7 @@
     pub(crate) fn ended(&mut self, attempt: usize, outcome: Outcome) {
         let Some(a) = self.attempts.get_mut(attempt) else { return };
         (a.out, a.conn) = (false, None);
+        a.unsure = matches!(outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
         a.holds &= !matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
     }
 
@@ -108,6 +113,12 @@
         held.chain(self.owes).collect()
     }
 
+    /// Whether a word may come too early: an attempt was given up or broke off, and while its engine has not seen that, a
+    /// read may still leave its state there, and a write that waits for state may still keep it from being let go of.
+    pub(crate) fn may_yet_hold(&self) -> bool {
+        self.attempts.iter().any(|a| a.unsure)
+    }
+
     /// It is being let go of by this word.
     pub(crate) fn let_go(&mut self, word: u64) {
         (self.word, self.owes) = (Some(word), None);
--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -75,10 +75,16 @@
             Use::Probe => Errand::Probe,
             Use::Word(_) => Errand::Word,
         };
+        // A word is told again if it breaks, and goes out as soon as it can.
+        let rested = match used_for {
+            Use::Word(_) => now,
+            _ if self.trust.may_use(engine, sure) => now.saturating_sub(room::REST),
+            _ => Duration::ZERO,
+        };
         if sure {
             self.close_unsure(engine, out);
         }
-        let slot = self.pool.take(engine, usize::MAX - 1, errand);
+        let slot = self.pool.take(engine, usize::MAX - 1, errand, rested);
         let conn = match slot {
             Slot::Idle(conn) => {
                 if let Some(link) = self.links.get_mut(&conn) {
@@ -165,7 +171,9 @@
     }
 
     /// Tells the module how an attempt ended, once.
-    pub(crate) fn ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, kept: f64, report: LoadReport) {
+    pub(crate) fn ended(
+        &mut self, id: RequestId, attempt: usize, outcome: Outcome, kept: f64, report: LoadReport,
+    ) {
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(a) = call.attempts.get(attempt).filter(|a| a.out) else { return };
@@ -174,7 +182,15 @@
         let finished = call.over;
         self.reap.push(id);
         let report = self.allowed(report);
-        self.tell(Event::Ended(Ended { request: id, attempt, outcome, latency, finished, kept_tokens: kept, report }));
+        self.tell(Event::Ended(Ended {
+            request: id,
+            attempt,
+            outcome,
+            latency,
+            finished,
+            kept_tokens: kept,
+            report,
+        }));
     }
 
     /// A report in an answer; none where the settings say that answers hold none.
@@ -212,8 +228,11 @@
         let addr = SocketAddr::from(([0, 0, 0, 0], 0));
         let addr = self.members.get(holder).map_or(addr, |m| m.addr);
         let n = self.letting_go.add(holder, addr, call.name.clone());
+        if call.may_yet_hold() {
+            self.letting_go.say_twice(n);
+        }
         if let Some(before) = call.word {
-            self.letting_go.heard(before);
+            self.letting_go.take_back(before);
         }
         call.let_go(n);
         self.say(n, out);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -31,8 +31,10 @@
     /// Room for one more client is made by closing the one that has said nothing for longest, else the one that stands
     /// idle longest. False if all are at work.
     fn evict(&mut self, out: &mut Vec<Output>) -> bool {
-        let silent = |c: &&Client| self.unheard.contains_key(&c.conn) && !matches!(c.state, State::Serving(_));
-        let oldest = |clients: Vec<&Client>| clients.into_iter().min_by_key(|c| (c.since, c.conn)).map(|c| c.conn);
+        let silent =
+            |c: &&Client| self.unheard.contains_key(&c.conn) && !matches!(c.state, State::Serving(_));
+        let oldest =
+            |clients: Vec<&Client>| clients.into_iter().min_by_key(|c| (c.since, c.conn)).map(|c| c.conn);
         let found = oldest(self.clients.values().filter(silent).collect());
         let idle = |c: &&Client| c.state == State::Idle;
         let found = found.or_else(|| oldest(self.clients.values().filter(idle).collect()));
@@ -179,8 +181,14 @@
         self.answer(conn, status, &[], body.as_bytes(), out);
     }
 
-    fn answer(&mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>) {
+    fn answer(
+        &mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
+    ) {
+        let stopping = self.stopping.is_some();
         let Some(client) = self.clients.get_mut(&conn) else { return };
+        if stopping {
+            client.last_answer();
+        }
         client.answer(status, fields, body, out);
         self.client_done(conn, out);
     }
@@ -208,7 +216,9 @@
     }
 
     /// Writes a final answer that is no stream, and goes on with what the client has sent ahead.
-    fn answer_call(&mut self, id: RequestId, status: u16, fields: &[(&str, &str)], why: &str, out: &mut Vec<Output>) {
+    fn answer_call(
+        &mut self, id: RequestId, status: u16, fields: &[(&str, &str)], why: &str, out: &mut Vec<Output>,
+    ) {
         let Some(conn) = self.calls.get(&id).filter(|c| !c.over).map(|c| c.client) else { return };
         self.close(id);
         let body = serde_json::json!({ "error": why }).to_string();
@@ -216,7 +226,9 @@
         self.read_requests(conn, out);
     }
 
-    pub(crate) fn refuse(&mut self, id: RequestId, after: Option<Duration>, over_share: bool, out: &mut Vec<Output>) {
+    pub(crate) fn refuse(
+        &mut self, id: RequestId, after: Option<Duration>, over_share: bool, out: &mut Vec<Output>,
+    ) {
         self.tally.refused += 1;
         let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
         let fields: Vec<(&str, &str)> = after.iter().map(|after| ("retry-after", after.as_str())).collect();
@@ -232,6 +244,9 @@
     pub(crate) fn begin_stream(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(client) = self.calls.get(&id).map(|c| c.client) else { return };
         if let Some(client) = self.clients.get_mut(&client) {
+            if self.stopping.is_some() {
+                client.last_answer();
+            }
             client.begin_stream(&[], out);
         }
     }
@@ -268,7 +283,8 @@
 
     /// A stream is moved: it ends where it stands, and its client asks for the rest.
     pub(crate) fn move_stream(&mut self, id: RequestId, out: &mut Vec<Output>) {
-        let Some(conn) = self.calls.get(&id).filter(|c| !c.over).and_then(|c| c.attempts[c.begun?].conn) else {
+        let Some(conn) = self.calls.get(&id).filter(|c| !c.over).and_then(|c| c.attempts[c.begun?].conn)
+        else {
             return;
         };
         self.break_off(id, out);
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -1,6 +1,6 @@
 //! What the engines say and do: it becomes events for the module and the client's answer.
 
-use crate::link::{Answer, Said, State, Use};
+use crate::link::{Answer, Link, Said, State, Use};
 use crate::node::{loss_outcome, Node};
 use crate::room;
 use slipreel::{Event, LoadReport, Outcome, RequestId};
@@ -30,6 +30,9 @@
         }
         link.since = now;
         let engine = link.engine;
+        if std::mem::take(&mut link.on_trust) {
+            self.trust.used(engine, false);
+        }
         let mut said = Vec::new();
         link.feed(bytes, &self.layout, &mut said);
         self.members.heard(engine, now);
@@ -43,10 +46,26 @@
 
     pub(crate) fn link_lost(&mut self, conn: ConnId, why: Loss, out: &mut Vec<Output>) {
         if let Some(link) = self.forget_link(conn) {
+            self.broke(&link);
             self.carried_ended(&link, loss_outcome(why, link.unsent), out);
         }
     }
 
+    pub(crate) fn link_eof(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        if let Some(link) = self.forget_link(conn) {
+            out.push(Output::Abort(conn));
+            self.broke(&link);
+            self.carried_ended(&link, Outcome::Reset, out);
+        }
+    }
+
+    /// A connection broke: if it had been kept, kept ones are worth less.
+    fn broke(&mut self, link: &Link) {
+        if link.on_trust && link.state == State::Busy {
+            self.trust.used(link.engine, true);
+        }
+    }
+
     /// Its time is up, by its state.
     pub(crate) fn link_late(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         match self.links.get(&conn).map(|l| l.state) {
@@ -100,11 +119,14 @@
             }
             (Said::Spoilt(why), _) => {
                 self.tally.spoilt += 1;
-                let name = self.members.get(engine).map_or_else(|| format!("{:x}", engine.0), |m| m.name.clone());
+                let name =
+                    self.members.get(engine).map_or_else(|| format!("{:x}", engine.0), |m| m.name.clone());
                 self.note(|| format!("engine {name}: {why}"), out);
                 self.drop_link(conn, Outcome::Error, out);
             }
-            (Said::Events(_) | Said::End(_), Use::Probe | Use::Word(_)) => self.drop_link(conn, Outcome::Error, out),
+            (Said::Events(_) | Said::End(_), Use::Probe | Use::Word(_)) => {
+                self.drop_link(conn, Outcome::Error, out)
+            }
         }
     }
 
@@ -118,7 +140,7 @@
             out.push(Output::Resume(conn));
         }
         let stays = self.members.get(engine).is_some_and(|m| m.addr == link.addr);
-        if stays && link.reusable && self.pool.put(engine, conn, usize::MAX) {
+        if stays && link.reusable && self.pool.put(engine, conn, self.trust.keeps(engine, usize::MAX), now) {
             self.arm_link(conn);
         } else {
             self.forget_link(conn);
@@ -184,7 +206,8 @@
     pub(crate) fn check_pace(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(call) = self.calls.get(&id) else { return };
         let Some(conn) = call.begun.and_then(|a| call.attempts[a].conn) else { return };
-        let Some(unsent) = self.clients.get(&call.client).map(|c| c.unsent) else { return };
+        let client = call.client;
+        let Some(unsent) = self.clients.get(&client).map(|c| c.unsent) else { return };
         let now = self.now;
         let Some(link) = self.links.get_mut(&conn) else { return };
         // Some hysteresis, so that a peer of steady pace does not make it change with each write.
@@ -193,6 +216,7 @@
             (link.paused, link.since) = (pauses, now);
             out.push(if pauses { Output::Pause(conn) } else { Output::Resume(conn) });
             self.arm_link(conn);
+            self.arm_client(client);
         }
     }
 }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -15,7 +15,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Use {
     /// An attempt: of which call, and which of its attempts.
-    Attempt { call: u64, attempt: usize },
+    Attempt {
+        call: u64,
+        attempt: usize,
+    },
     Probe,
     /// A word to let go, by its number.
     Word(u64),
@@ -75,6 +78,8 @@
     /// Bytes of the request that have not left the driver.
     pub(crate) unsent: usize,
     pub(crate) paused: bool,
+    /// It has carried an exchange before, and nothing of the answer to the present one has come.
+    pub(crate) on_trust: bool,
     /// The exchange is over, and another may follow.
     pub(crate) reusable: bool,
     decoder: Decoder,
@@ -88,7 +93,8 @@
 
 /// Whether a line may stand in a stream of events.
 fn is_event_line(line: &[u8]) -> bool {
-    line.is_empty() || [&b":"[..], b"data:", b"event:", b"id:", b"retry:"].iter().any(|start| line.starts_with(start))
+    line.is_empty()
+        || [&b":"[..], b"data:", b"event:", b"id:", b"retry:"].iter().any(|start| line.starts_with(start))
 }
 
 fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
@@ -109,6 +115,7 @@
             unsent: pending.len(),
             pending,
             paused: false,
+            on_trust: false,
             reusable: false,
             decoder: decoder(),
             body: Body::None,
@@ -118,7 +125,7 @@
     /// A further exchange begins on it.
     pub(crate) fn begin(&mut self, used_for: Use, now: Duration, bytes: usize) {
         (self.state, self.used_for, self.since, self.unsent) = (State::Busy, used_for, now, bytes);
-        (self.reusable, self.body) = (false, Body::None);
+        (self.reusable, self.body, self.on_trust) = (false, Body::None, true);
     }
 
     /// Takes bytes; appends what they said. Nothing more is to be fed after `Spoilt`.
@@ -174,7 +181,11 @@
             Body::Whole(answer) => {
                 answer.body.extend_from_slice(piece);
                 let long = answer.body.len() > room::EVENT;
-                if long { Err(format!("an answer over {} bytes", room::EVENT)) } else { Ok(()) }
+                if long {
+                    Err(format!("an answer over {} bytes", room::EVENT))
+                } else {
+                    Ok(())
+                }
             }
             Body::Stream(held, report) => {
                 held.extend_from_slice(piece);
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -9,7 +9,7 @@
 use crate::room::{self, Room};
 use crate::watch::{State as WatchState, Watch};
 use slipreel::{EngineId, Event, Outcome, RequestId, Router, TimerId};
-use slipreel_links::{Client, LetGo, Pool, State as ClientState, TimerKey, Wheel};
+use slipreel_links::{Client, LetGo, Pool, State as ClientState, TimerKey, Trust, Wheel};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
 use slipreel_profile::Profile;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -53,7 +53,7 @@
     /// A word to let go that was not heard is said again.
     Word(u64),
     Watch,
-    /// The time of grace after a stop is over.
+    /// The next step of a stop is due.
     Stop,
     /// To say how things stand.
     Standing,
@@ -77,6 +77,7 @@
     pub(crate) links: HashMap<ConnId, Link>,
     link_alarms: HashMap<ConnId, TimerKey>,
     pub(crate) pool: Pool,
+    pub(crate) trust: Trust,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     /// Open requests by the name their clients gave them.
     pub(crate) names: HashMap<String, RequestId>,
@@ -115,6 +116,7 @@
             links: HashMap::new(),
             link_alarms: HashMap::new(),
             pool: Pool::default(),
+            trust: Trust::default(),
             calls: BTreeMap::new(),
             names: HashMap::new(),
             wheel: Wheel::default(),
@@ -166,6 +168,21 @@
         counts
     }
 
+    /// The same as the module counts them, of the engines that it lists.
+    pub fn counted(&self) -> BTreeMap<EngineId, usize> {
+        self.router.under_way().map(|(engine, out)| (engine, out as usize)).collect()
+    }
+
+    /// What the module keeps: requests, timers, engines.
+    pub fn kept(&self) -> (usize, usize, usize) {
+        self.router.kept()
+    }
+
+    /// Entries of the node's other books, which go by engine and by client.
+    pub fn books(&self) -> usize {
+        self.members.len() + self.names.len() + self.unheard.len() + self.pool.len() + self.trust.len()
+    }
+
     pub(crate) fn tell(&mut self, event: Event) {
         self.events.push_back(event);
     }
@@ -189,8 +206,9 @@
                 self.calls.remove(&id);
             }
         }
-        let grace = self.stopping.is_some_and(|since| self.now >= since + room::STOP_GRACE);
-        if grace && !self.stopped && self.calls.is_empty() && self.clients.is_empty() && self.letting_go.is_empty() {
+        let grace = self.stopping_for(room::STOP_GRACE);
+        let said = self.letting_go.is_empty() || self.stopping_for(self.leaves());
+        if grace && !self.stopped && self.calls.is_empty() && self.clients.is_empty() && said {
             self.stopped = true;
             out.push(Output::Stopped);
         }
@@ -277,7 +295,7 @@
             Alarm::Attempt(id, attempt) => self.attempt_late(id, attempt, out),
             Alarm::Word(n) => self.say(n, out),
             Alarm::Watch => self.watch_due(out),
-            Alarm::Stop => self.grace_over(out),
+            Alarm::Stop => self.stop_step(out),
             Alarm::Standing => self.say_standing(out),
         }
     }
@@ -365,13 +383,17 @@
             self.drop_link(conn, Outcome::Moot, out);
         }
         for engine in change.closed.into_iter().chain(change.moved) {
+            self.trust.forget(engine);
             self.close_idle(engine, out);
         }
     }
 
     /// The file was replaced: the watch goes over to the new address; what it held stays until that has told more.
     fn reload(&mut self, config: &Config, out: &mut Vec<Output>) {
-        out.push(Output::Log(format!("the configuration was read again; discovery is at {}", config.discovery)));
+        out.push(Output::Log(format!(
+            "the configuration was read again; discovery is at {}",
+            config.discovery
+        )));
         if config.discovery != self.watch.addr {
             self.watch.addr = config.discovery;
             if let Some(conn) = self.watch.conn() {
@@ -392,10 +414,25 @@
         self.stopping = Some(self.now);
         // Each answer from now on says that its connection ends.
         self.clients.values_mut().for_each(Client::last_answer);
-        self.wheel.set(self.now + room::STOP_GRACE, Alarm::Stop);
+        for step in [room::STOP_GRACE, room::STOP_MOVE, self.leaves()] {
+            self.wheel.set(self.now + step, Alarm::Stop);
+        }
+    }
+
+    /// When after a stop all has to be answered: the process is killed soon after.
+    fn leaves(&self) -> Duration {
+        let longest = self.profile.longest_wait.unwrap_or(Duration::MAX).min(room::STOP_LONGEST);
+        (longest + room::STOP_GRACE).saturating_sub(room::STOP_SPARE)
+    }
+
+    /// Whether it was told to stop so long ago.
+    fn stopping_for(&self, time: Duration) -> bool {
+        self.stopping.is_some_and(|since| self.now >= since + time)
     }
 
-    fn grace_over(&mut self, out: &mut Vec<Output>) {
+    /// The steps of a stop: idle connections end; streams that would be cut off are moved, where their clients ask for
+    /// the rest; at the last moment, what has not begun is answered.
+    fn stop_step(&mut self, out: &mut Vec<Output>) {
         let idle = |c: &&Client| c.state == ClientState::Idle;
         let mut idle: Vec<ConnId> = self.clients.values().filter(idle).map(|c| c.conn).collect();
         idle.sort();
@@ -403,6 +440,21 @@
             out.push(Output::Finish(conn));
             self.forget_client(conn);
         }
+        let begun = |c: &&Call| c.begun.is_some();
+        let open: Vec<(RequestId, bool)> =
+            self.calls.iter().filter(|(_, c)| !c.over).map(|(&id, c)| (id, begun(&c))).collect();
+        let moves = self.profile.resumes && self.stopping_for(room::STOP_MOVE);
+        let leaves = self.stopping_for(self.leaves());
+        for (id, begun) in open {
+            match begun {
+                true if moves => self.move_stream(id, out),
+                false if leaves => {
+                    self.fail(id, out);
+                    self.tell(Event::ClientGone(id));
+                }
+                _ => {}
+            }
+        }
     }
 
     // ---- Books --------------------------------------------------------------------------------
@@ -430,7 +482,8 @@
 }
 
 fn arm(
-    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>, alarm: Alarm,
+    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>,
+    alarm: Alarm,
 ) {
     if let Some(key) = keys.remove(&conn) {
         wheel.cancel(key);
@@ -457,7 +510,7 @@
             Input::Data(conn, bytes) if conn.is_opened() => self.link_data(conn, bytes, out),
             Input::Data(conn, bytes) => self.client_data(conn, bytes, out),
             Input::Eof(conn) if self.is_watch(conn) => self.watch_over("it was closed", out),
-            Input::Eof(conn) if conn.is_opened() => self.drop_link(conn, Outcome::Reset, out),
+            Input::Eof(conn) if conn.is_opened() => self.link_eof(conn, out),
             Input::Eof(conn) => self.client_eof(conn, out),
             Input::Sent(conn, n) if conn.is_opened() => self.link_sent(conn, n),
             Input::Sent(conn, n) => self.client_sent(conn, n, out),
--- a/crates/platform/src/report.rs
+++ b/crates/platform/src/report.rs
@@ -43,7 +43,8 @@
     use super::*;
 
     fn layout() -> Layout {
-        let columns = [("queue", Column::Queued), ("x0", Column::MemoryShare), ("x1", Column::WaitingThousands)];
+        let columns =
+            [("queue", Column::Queued), ("x0", Column::MemoryShare), ("x1", Column::WaitingThousands)];
         Layout(columns.map(|(n, c)| (n.to_owned(), c)).to_vec())
     }
 
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -66,8 +66,19 @@
 pub(crate) const WATCH_CONNECT: Duration = ms(1_000);
 /// Least wait before a watch is opened anew; up to twice that by chance, so that routers don't come together.
 pub(crate) const WATCH_AGAIN: Duration = ms(150);
-/// After it was told to stop, a node goes on taking requests for so long: who comes still has to be answered.
+/// After it was told to stop, a node goes on taking requests for so long: who comes still has to be answered. From the
+/// protocol.
 pub(crate) const STOP_GRACE: Duration = ms(700);
+/// From then on streams are moved, where clients ask for the rest of what broke: late enough for most to end by
+/// themselves, and early enough that the next router in a rolling restart is still up.
+pub(crate) const STOP_MOVE: Duration = ms(2_400);
+/// The longest wait of a client that the time until the kill goes by. From the protocol.
+pub(crate) const STOP_LONGEST: Duration = ms(3_000);
+/// So long before the kill nothing is left unanswered.
+pub(crate) const STOP_SPARE: Duration = ms(450);
+/// A connection rests for so long after an answer before it is used again: an engine that closes it, or sends a second
+/// answer, is seen to do so in this time.
+pub(crate) const REST: Duration = ms(8);
 /// Least time between two lines for the staff on peers' misdeeds.
 pub(crate) const LOG_STEP: Duration = ms(500);
 /// Between two lines that say how things stand.
--- /dev/null
+++ b/crates/platform/tests/fleet.rs
@@ -0,0 +1,199 @@
+//! A seeded fleet in virtual time: engines that fault, are replaced under new names and leave; clients that ask once,
+//! stay, or go. Every request has one ending, nothing is sent twice or kept, and the node ends as small as it began.
+
+use slipreel_machine::{Input, Machine, Output};
+use slipreel_platform::{Config, Node};
+use slipreel_standin::memory::{Delays, World};
+use slipreel_standin::platform::{look, Clients, Discovery, Ending, Engine, Faults, Listing, Shared};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+mod common;
+use common::{config, ms};
+
+enum Actor {
+    Node(Box<Node>),
+    Engine(Box<Engine>),
+    Discovery(Box<Discovery>),
+    Clients(Box<Clients>),
+}
+
+impl Machine for Actor {
+    fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
+        match self {
+            Actor::Node(m) => m.handle(now, input, out),
+            Actor::Engine(m) => m.handle(now, input, out),
+            Actor::Discovery(m) => m.handle(now, input, out),
+            Actor::Clients(m) => m.handle(now, input, out),
+        }
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        match self {
+            Actor::Node(m) => m.wake_at(),
+            Actor::Engine(m) => m.wake_at(),
+            Actor::Discovery(m) => m.wake_at(),
+            Actor::Clients(m) => m.wake_at(),
+        }
+    }
+}
+
+const START: Duration = Duration::from_secs(1_000);
+const DISCOVERY: &str = "127.0.0.9:8500";
+
+struct Fleet {
+    world: World<Actor>,
+    shared: Shared,
+    faults: Faults,
+    node: usize,
+    discovery: usize,
+    clients: usize,
+    /// Engines that live: name, whether it reads, number in the world.
+    live: Vec<(String, bool, usize)>,
+    born: u16,
+    seed: u64,
+}
+
+fn entry(name: &str, reads: bool, port: u16, status: &str, since: Duration) -> String {
+    let kind = if reads { "reads" } else { "writes" };
+    // The platform's wall clock and the world's are one here.
+    let since = since.as_millis();
+    format!(
+        r#"{{"name":"{name}","address":"127.0.0.1:{port}","zone":"a","type":"{kind}","group":1,"status":"{status}","weight":1.0,"since_ms":{since}}}"#
+    )
+}
+
+impl Fleet {
+    fn new(faults: Faults, requests: u32, every: Duration, seed: u64) -> Fleet {
+        let shared = Shared::default();
+        let mut world = World::new(START, Delays::default(), seed);
+        let (mut live, mut first) = (Vec::new(), Vec::new());
+        for born in 1..=5u16 {
+            let (name, reads) = (format!("e{born}"), born <= 2);
+            let engine = Engine::new(&name, reads, shared.clone(), faults, seed + u64::from(born));
+            let addr = SocketAddr::from(([127, 0, 0, 1], born));
+            let at = world.add(Actor::Engine(Box::new(engine)), &[addr]);
+            first.push((name.clone(), entry(&name, reads, born, "Ready", Duration::ZERO)));
+            live.push((name, reads, at));
+        }
+        let discovery = Discovery::new(&Listing(first));
+        let known = discovery.whole();
+        let discovery = world.add(Actor::Discovery(Box::new(discovery)), &[DISCOVERY.parse().unwrap()]);
+        let config = Config::parse(&config(DISCOVERY, &known, 512)).unwrap();
+        let target = config.listen;
+        let node = world.add(Actor::Node(Box::new(Node::new(config, START, START))), &[target]);
+        let clients = Clients::new(target, &["chat", "once"], every, requests, START + ms(50), seed);
+        let clients = world.add(Actor::Clients(Box::new(clients)), &[]);
+        Fleet { world, shared, faults, node, discovery, clients, live, born: 5, seed }
+    }
+
+    fn node(&self) -> &Node {
+        match self.world.machine(self.node) {
+            Actor::Node(node) => node,
+            _ => unreachable!("the node's place"),
+        }
+    }
+
+    fn clients(&self) -> &Clients {
+        match self.world.machine(self.clients) {
+            Actor::Clients(clients) => clients,
+            _ => unreachable!("the clients' place"),
+        }
+    }
+
+    /// An engine drains and leaves, and another takes its place under a new name.
+    fn replace(&mut self) {
+        let at = usize::from(self.born) % self.live.len();
+        self.born += 1;
+        let (old, reads, gone) = self.live[at].clone();
+        let name = format!("e{}", self.born);
+        let engine =
+            Engine::new(&name, reads, self.shared.clone(), self.faults, self.seed + u64::from(self.born));
+        let addr = SocketAddr::from(([127, 0, 0, 1], self.born));
+        let number = self.world.add(Actor::Engine(Box::new(engine)), &[addr]);
+        self.live[at] = (name.clone(), reads, number);
+        let drains = (old.clone(), entry(&old, reads, 1, "Terminating", Duration::ZERO));
+        let joins = (name.clone(), entry(&name, reads, self.born, "Ready", Duration::ZERO));
+        self.world.news(self.discovery, &Listing(vec![drains, joins]));
+        self.run(ms(300));
+        let left = old.clone();
+        let leaves = format!(r#"{{"name":"{old}","status":"Gone"}}"#);
+        self.world.news(self.discovery, &Listing(vec![(old, leaves)]));
+        self.run(ms(50));
+        self.world.kill(gone);
+        look(&self.shared).dies(&left);
+    }
+
+    /// Runs on, and checks at each moment that the module's count of what is under way is that of the sockets.
+    fn run(&mut self, time: Duration) {
+        let end = self.world.now() + time;
+        while self.world.now() < end {
+            let until = self.world.now() + ms(10);
+            self.world.run_until(until);
+            let node = self.node();
+            let sockets = node.under_way();
+            for (engine, counted) in node.counted() {
+                let open = sockets.get(&engine).copied().unwrap_or_default();
+                assert_eq!(counted, open, "{engine:?} at {:?}", self.world.now() - START);
+            }
+        }
+    }
+}
+
+#[test]
+fn under_every_fault_each_request_has_one_ending_and_the_books_are_those_of_the_sockets() {
+    let faults = Faults { full: 0.05, error: 0.03, reset: 0.03, garble: 0.03, more: 0.05, silence: 0.01 };
+    for seed in 1..=4 {
+        let mut fleet = Fleet::new(faults, 1_000, ms(20), seed);
+        for _ in 0..40 {
+            fleet.replace();
+            fleet.run(ms(150));
+        }
+        fleet.run(ms(16_000));
+        let (clients, node) = (fleet.clients(), fleet.node());
+        let total: u32 = clients.endings.values().sum();
+        assert_eq!(total, 1_000, "{:?}", clients.endings);
+        assert_eq!(clients.odd, [""; 0], "seed {seed}: {:?}", clients.endings);
+        assert!(clients.endings[&Ending::Served] > 700, "{:?}", clients.endings);
+        let fabric = look(&fleet.shared);
+        assert_eq!(fabric.broken, [""; 0], "seed {seed}");
+        assert!(fabric.twice.is_empty(), "seed {seed}: second copies {:?}", fabric.twice);
+        let [_, _, calls, _, words] = node.holds();
+        assert_eq!((calls, words, node.kept().0), (0, 0, 0), "seed {seed}: nothing is left");
+    }
+}
+
+#[test]
+fn state_is_never_pinned_though_reads_break_and_clients_leave() {
+    let faults = Faults { reset: 0.2, full: 0.2, ..Faults::default() };
+    for seed in 11..=13 {
+        let mut fleet = Fleet::new(faults, 400, ms(25), seed);
+        for _ in 0..300 {
+            fleet.run(ms(40));
+            let pinned = look(&fleet.shared).pinned(fleet.world.now(), ms(500));
+            assert_eq!(pinned, [""; 0], "seed {seed} at {:?}", fleet.world.now() - START);
+        }
+        assert!(fleet.node().tally().words > 20, "the case came up");
+    }
+}
+
+#[test]
+fn thousands_of_engines_that_come_and_go_leave_nothing_behind() {
+    let mut fleet = Fleet::new(Faults::default(), 6_000, ms(125), 5);
+    let mut sizes = Vec::new();
+    for n in 0..2_000 {
+        fleet.replace();
+        if n % 500 == 499 {
+            fleet.run(ms(1_500));
+            let (node, kept) = (fleet.node(), fleet.node().kept());
+            sizes.push((node.holds(), kept, node.books()));
+        }
+    }
+    fleet.run(ms(60_000));
+    assert_eq!(fleet.clients().odd, [""; 0], "{:?}", fleet.clients().endings);
+    for (holds, kept, books) in &sizes {
+        let [clients, links, calls, timers, words] = *holds;
+        assert!(links < 60 && calls < 20 && words == 0 && clients < 200 && timers < 600, "{sizes:?}");
+        assert!(kept.2 <= 7 && kept.1 < 300 && *books < 40, "{sizes:?}");
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/peers.rs
@@ -0,0 +1,256 @@
+//! Discovery, letting go, reloads and stops.
+
+mod common;
+use common::*;
+use slipreel_machine::{Input, Loss, Output};
+use slipreel_platform::Config;
+
+const WATCH_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A host whose watch is open.
+fn watching() -> (Host, slipreel_machine::ConnId) {
+    let mut host = Host::new();
+    let (conn, port) = watch(&host.pass(ms(1))).unwrap();
+    assert_eq!(port, 8500);
+    let out = host.tell(Input::Connected(conn));
+    assert!(text(&out, conn).starts_with("GET /api/targets?watch=1&after=41 HTTP/1.1\r\n"));
+    host.data(conn, WATCH_HEAD);
+    (host, conn)
+}
+
+#[test]
+fn changes_of_the_list_are_obeyed_at_once() {
+    let (mut host, conn) = watching();
+    let client = host.client();
+    let reader = opened(&host.data(client, request("chat", "1")))[0].0;
+    // Before its connection stands the reader drains and another has come.
+    let change = list(42, false, &[engine("r", "reads", 1, "Terminating"), engine("s", "reads", 7, "Ready")]);
+    let out = host.data(conn, chunk(&(change + "\n")));
+    assert!(aborted(&out, reader), "what has not left goes elsewhere");
+    assert_eq!(opened(&out).iter().map(|o| o.1).collect::<Vec<_>>(), [7]);
+    let gone = list(43, false, &[r#"{"name":"s","status":"Gone"}"#.to_owned()]);
+    let out = host.data(conn, chunk(&(gone + "\n")));
+    assert!(opened(&out).is_empty());
+}
+
+#[test]
+fn an_engine_is_its_name_wherever_it_is() {
+    let (mut host, conn) = watching();
+    let (client, writer) = host.streaming("chat");
+    host.data(writer, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+    let moved: Vec<String> = [("r", "reads", 11), ("w", "writes", 12), ("v", "writes", 13)]
+        .map(|(n, k, p)| engine(n, k, p, "Ready"))
+        .into();
+    let out = host.data(conn, chunk(&(list(42, true, &moved) + "\n")));
+    assert!(ends(&out, writer), "idle connections to the old address end");
+    let out = host.data(client, request("chat", "2"));
+    assert_eq!(opened(&out)[0].1, 11);
+}
+
+#[test]
+fn a_watch_that_breaks_hangs_or_cant_be_read_is_opened_anew_and_the_list_stays() {
+    let good = chunk(&(list(40, true, &[]) + "\n"));
+    for (n, deed) in ["{\"index\":\n", "HTTP", &list(39, false, &[])].iter().enumerate() {
+        let (mut host, conn) = watching();
+        let out = host.data(conn, chunk(&format!("{deed}\n")));
+        assert!(aborted(&out, conn), "case {n}");
+        let (again, _) = watch(&host.pass(ms(310))).expect("opened anew");
+        let out = host.tell(Input::Connected(again));
+        assert!(text(&out, again).contains("after=0 "), "case {n}: the whole list is asked for");
+        let client = host.client();
+        assert_eq!(opened(&host.data(client, request("chat", "1"))).len(), 1, "case {n}: the list stays");
+    }
+    let (mut host, conn) = watching();
+    assert!(aborted(&host.data(conn, &good), conn), "an older whole list that was not asked for");
+    for deed in [Input::Eof(conn), Input::Lost(conn, Loss::Reset)] {
+        let (mut host, conn) = watching();
+        host.data(conn, chunk("{\"index\":42,\"snap"));
+        host.tell(deed);
+        let (again, _) = watch(&host.pass(ms(310))).expect("opened anew");
+        let out = host.tell(Input::Connected(again));
+        assert!(text(&out, again).contains("after=41 "), "half a line is none");
+    }
+    let (mut host, conn) = watching();
+    for _ in 0..5 {
+        assert!(!aborted(&host.pass(ms(2_000)), conn), "empty lines say that it lives");
+        host.data(conn, chunk("\n"));
+    }
+    let out = host.pass(ms(5_400));
+    assert!(aborted(&out, conn) && watch(&out).is_some(), "one without lines hangs");
+}
+
+#[test]
+fn a_node_without_a_list_is_not_ready() {
+    let ask = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    let mut host = Host::with(&config(DISCOVERY, "null", 256));
+    let (conn, _) = watch(&host.pass(ms(1))).unwrap();
+    let client = host.client();
+    assert_eq!(status(&host.data(client, ask), client), Some(503));
+    host.tell(Input::Connected(conn));
+    host.data(conn, WATCH_HEAD);
+    host.data(conn, chunk(&(list(1, true, &engines()) + "\n")));
+    assert_eq!(status(&host.data(client, ask), client), Some(200));
+}
+
+#[test]
+fn a_reload_moves_the_watch_and_loses_nothing() {
+    for hangs in [false, true] {
+        let (mut host, old) = watching();
+        let (client, writer) = host.streaming("chat");
+        if hangs {
+            let out = host.pass(ms(4_000));
+            assert!(!ends(&out, client));
+        }
+        let config = Config::parse(&config("127.0.0.9:8600", &list(41, true, &engines()), 256)).unwrap();
+        let out = host.tell(Input::News(&config));
+        let (new, port) = watch(&out).expect("opened at once");
+        assert!(aborted(&out, old) && port == 8600);
+        let out = host.tell(Input::Connected(new));
+        assert!(text(&out, new).contains("after=41 "));
+        let out = host.data(writer, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+        assert!(text(&out, client).ends_with("0\r\n\r\n"), "the stream goes on");
+        assert!(watch(&host.tell(Input::News(&config))).is_none(), "the same address again changes nothing");
+    }
+}
+
+// ---- Letting go ---------------------------------------------------------------------------------
+
+const HEARD: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+fn words(out: &[Output]) -> Vec<(slipreel_machine::ConnId, String)> {
+    let all = out.iter().filter_map(|o| match o {
+        Output::Write(c, bytes) if bytes.starts_with(b"DELETE ") => {
+            Some((*c, String::from_utf8_lossy(bytes).lines().next().unwrap().to_owned()))
+        }
+        _ => None,
+    });
+    all.collect()
+}
+
+#[test]
+fn state_is_let_go_of_where_its_client_left_and_the_word_is_said_until_it_was_heard() {
+    let mut host = Host::new();
+    let (client, writer, _) = host.at_writer("chat");
+    let out = host.tell(Input::Eof(client));
+    let said = words(&out);
+    assert_eq!(said.len(), 1, "on the connection that stands: the reader's");
+    assert_eq!(said[0].1, "DELETE /v1/holds/9b1f HTTP/1.1");
+    assert!(aborted(&out, writer));
+    // Nothing answers: it is said again, on a connection of its own or another's, until one does. As the write was given
+    // up a moment before, it has to be heard twice.
+    let (mut heard, mut out) = (0, host.pass(ms(400)));
+    for _ in 0..6 {
+        for (conn, _) in opened(&out) {
+            heard += words(&host.connected(conn)).len();
+            host.data(conn, HEARD);
+        }
+        out = host.pass(ms(130));
+        for (conn, _) in words(&out) {
+            heard += 1;
+            host.data(conn, HEARD);
+        }
+    }
+    assert!(heard >= 2, "{heard}");
+    let out = host.pass(ms(3_000));
+    assert!(words(&out).is_empty() && opened(&out).is_empty(), "that is enough");
+    assert_eq!(host.node.holds()[4], 0);
+}
+
+#[test]
+fn a_read_whose_connection_broke_may_have_left_state() {
+    let mut host = Host::new();
+    let client = host.client();
+    let reader = opened(&host.data(client, request("chat", "1")))[0].0;
+    host.connected(reader);
+    let out = host.tell(lost(reader, Loss::Reset));
+    // The module reads it again there; the word goes first or with it, and is not repeated under the new read.
+    let again = opened(&out);
+    assert!(!again.is_empty(), "{out:?}");
+    let out = host.tell(Input::Eof(client));
+    let all: Vec<_> = out.iter().chain(&host.pass(ms(300))).cloned().collect();
+    let mut said = words(&all);
+    for (conn, _) in opened(&all) {
+        said.extend(words(&host.connected(conn)));
+    }
+    assert!(!said.is_empty(), "let go of once no attempt is out");
+}
+
+#[test]
+fn a_word_is_not_said_again_under_a_new_read() {
+    let mut host = Host::new();
+    let client = host.client();
+    let reader = opened(&host.data(client, request("chat", "1")))[0].0;
+    host.connected(reader);
+    host.tell(lost(reader, Loss::Reset));
+    let out = host.pass(ms(700));
+    assert!(words(&out).is_empty(), "it would let go of what the new attempt reads: {out:?}");
+}
+
+#[test]
+fn a_stream_that_has_begun_has_taken_its_state() {
+    let mut host = Host::new();
+    let (_, writer) = host.streaming("chat");
+    host.data(writer, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+    assert_eq!((host.node.tally().words, host.node.holds()[4]), (0, 0));
+}
+
+// ---- Stop ---------------------------------------------------------------------------------------
+
+/// A host whose clients ask for the rest of what broke, or don't.
+fn stopping(resumes: bool) -> Host {
+    let config = config(DISCOVERY, &list(41, true, &engines()), 256);
+    Host::with(&config.replace("\"local_read\":false", &format!("\"local_read\":false,\"resume\":{resumes}")))
+}
+
+#[test]
+fn a_node_that_is_told_to_stop_answers_all_who_still_come_and_then_ends() {
+    for resumes in [false, true] {
+        let mut host = stopping(resumes);
+        let idle = host.client();
+        host.data(idle, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        let (client, writer) = host.streaming("chat");
+        let out = host.tell(Input::Stop);
+        assert!(!ends(&out, idle) && !ends(&out, client) && !out.contains(&Output::Stopped));
+        host.pass(ms(600));
+        let late = host.client();
+        let out = host.data(late, request("chat", "late"));
+        let reader =
+            out.iter().find_map(|o| if let Output::Write(c, _) = o { Some(*c) } else { None }).unwrap();
+        assert!(reader.is_opened(), "it is taken");
+        let out = host.pass(ms(150));
+        assert!(ends(&out, idle), "idle connections end when nobody is sent here any more");
+        host.data(reader, READ);
+        let out = host.data(writer, chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+        assert!(text(&out, client).ends_with("0\r\n\r\n") && finished(&out, client));
+        let out = host.pass(ms(4_800));
+        assert!(text(&out, late).contains("connection: close"), "{}", text(&out, late));
+        assert!(out.contains(&Output::Stopped));
+    }
+}
+
+#[test]
+fn before_the_kill_streams_are_moved_where_their_clients_ask_for_the_rest() {
+    for resumes in [false, true] {
+        let mut host = stopping(resumes);
+        let (client, writer) = host.streaming("chat");
+        host.tell(Input::Stop);
+        let mut out = Vec::new();
+        for _ in 0..36 {
+            out.extend(host.pass(ms(100)));
+            host.data(writer, chunk(&event("on")));
+        }
+        assert_eq!(finished(&out, client), resumes);
+        assert_eq!(aborted(&out, writer), resumes);
+        assert!(!text(&out, client).contains("0\r\n\r\n"));
+    }
+}
+
+#[test]
+fn before_the_kill_what_has_not_begun_is_answered() {
+    let mut host = stopping(true);
+    host.tell(Input::Stop);
+    host.pass(ms(1_500));
+    let (client, _, _) = host.at_writer("once");
+    let out = host.pass(ms(1_800));
+    assert_eq!(status(&out, client), Some(502));
+}
--- /dev/null
+++ b/crates/platform/tests/requests.rs
@@ -0,0 +1,211 @@
+//! A request's way, and each row of the protocol's table of outcomes.
+
+mod common;
+use common::*;
+use slipreel_machine::{ConnId, Input, Loss, Output};
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_stream_comes_back_unchanged() {
+    let mut host = Host::new();
+    let (client, writer, out) = host.at_writer("chat");
+    let sent = text(&out, writer);
+    assert!(sent.starts_with("POST /v1/chat/completions?a=b HTTP/1.1\r\n"), "{sent}");
+    assert!(sent.contains("x-request-id: 9b1f\r\n") && sent.ends_with(&format!("\r\n\r\n{BODY}")), "{sent}");
+    let left = sent.split("x-deadline: ").nth(1).and_then(|t| t.split("u\r\n").next()).unwrap();
+    assert!((1..=4_800_000).contains(&left.parse::<u64>().unwrap()), "{left}");
+
+    let out = host.data(writer, STREAM_HEAD);
+    assert_eq!(text(&out, client), "", "nothing goes on before a whole event has come");
+    let half = event("one");
+    let (a, b) = half.split_at(9);
+    assert_eq!(text(&host.data(writer, chunk(a)), client), "");
+    let mut seen = text(&host.data(writer, chunk(b)), client);
+    assert!(seen.starts_with("HTTP/1.1 200 "), "{seen}");
+    let tail = format!("{}data: [DONE]\n\n: X-Load: pending=4,x0=0.6\n\n", event("two"));
+    seen += &text(&host.data(writer, chunk(&tail) + "0\r\n\r\n"), client);
+    let body = seen.split_once("\r\n\r\n").unwrap().1;
+    let expected = chunk(&event("one")) + &chunk(&format!("{}data: [DONE]\n\n", event("two"))) + "0\r\n\r\n";
+    assert_eq!(body, expected);
+    assert_eq!((host.node.tally().served, host.node.tally().failed), (1, 0));
+
+    // Both connections are kept, the client's and, once they have rested, the engines'.
+    host.pass(ms(20));
+    let out = host.data(client, request("chat", "9b20"));
+    assert!(opened(&out).is_empty());
+    assert!(out.iter().any(|o| matches!(o, Output::Write(c, _) if c.is_opened())));
+}
+
+/// What an engine does to a write, and what becomes of an unsafe request: `None`: it is written elsewhere or read
+/// again, so it is known not to have run; else the status of its final answer.
+fn unsafe_write(host: &mut Host, deed: impl FnOnce(&mut Host, ConnId) -> Vec<Output>) -> Option<u16> {
+    let (client, writer, _) = host.at_writer("once");
+    let mut out = deed(host, writer);
+    out.extend(host.pass(ms(60)));
+    status(&out, client)
+}
+
+#[test]
+fn what_proves_that_nothing_ran_is_tried_again_and_all_else_fails_an_unsafe_request() {
+    let answer = |status: &str, more: &str| format!("HTTP/1.1 {status} x\r\n{more}Content-Length: 0\r\n\r\n");
+    for (reply, expected) in [
+        (answer("503", "X-Not-Run: 1\r\n"), None),
+        (answer("504", "X-Not-Run: 1\r\n"), None),
+        (answer("410", "X-Not-Run: 1\r\n"), None),
+        (answer("500", ""), Some(502)),
+        (answer("503", ""), Some(502)),
+        (answer("504", ""), Some(502)),
+        (answer("410", ""), Some(502)),
+        (answer("400", ""), Some(502)),
+        (answer("500", "X-Not-Run: 1\r\n"), Some(502)),
+        ("\u{1}\u{2} noise".into(), Some(502)),
+        (format!("{STREAM_HEAD}0\r\n\r\n"), Some(502)),
+        ("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nhi".into(), Some(502)),
+    ] {
+        let mut host = Host::new();
+        assert_eq!(unsafe_write(&mut host, |h, w| h.data(w, &reply)), expected, "{reply}");
+    }
+    let mut host = Host::new();
+    assert_eq!(unsafe_write(&mut host, |h, w| h.tell(lost(w, Loss::Reset))), Some(502), "reset");
+    let mut host = Host::new();
+    assert_eq!(unsafe_write(&mut host, |h, w| h.tell(Input::Eof(w))), Some(502), "closed without an answer");
+    for why in [Loss::NotConnected, Loss::Exhausted] {
+        let mut host = Host::new();
+        let client = host.client();
+        let reader = opened(&host.data(client, request("once", "1")))[0].0;
+        host.connected(reader);
+        let writer = opened(&host.data(reader, READ))[0].0;
+        let out = host.tell(lost(writer, why));
+        assert_eq!(status(&out, client), None, "{why:?}: goes to the other writer");
+        assert_eq!(opened(&out).len(), 1);
+    }
+}
+
+#[test]
+fn a_connection_that_breaks_before_all_was_written_has_run_nothing() {
+    let mut host = Host::new();
+    let client = host.client();
+    let reader = opened(&host.data(client, request("once", "1")))[0].0;
+    host.connected(reader);
+    let writer = opened(&host.data(reader, READ))[0].0;
+    host.tell(Input::Connected(writer));
+    let out = host.tell(lost(writer, Loss::Reset));
+    assert_eq!((status(&out, client), opened(&out).len()), (None, 1));
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_is_given_up_at_the_sites_time() {
+    let mut host = Host::new();
+    let client = host.client();
+    let reader = opened(&host.data(client, request("chat", "1")))[0].0;
+    assert!(!ends(&host.pass(ms(249)), reader));
+    assert!(ends(&host.pass(ms(2)), reader));
+}
+
+#[test]
+fn a_request_that_is_given_up_on_is_answered_at_once_with_a_time_to_come_back() {
+    let mut host = Host::with(&config(DISCOVERY, &list(41, true, &[]), 256));
+    let client = host.client();
+    let out = host.data(client, request("chat", "1"));
+    assert_eq!(status(&out, client), Some(503));
+    let answer = text(&out, client);
+    let after = answer.split("retry-after: ").nth(1).and_then(|t| t.split("\r\n").next()).unwrap();
+    assert!((0.1..=2.0).contains(&after.parse::<f64>().unwrap()), "{after}");
+}
+
+#[test]
+fn every_request_has_its_answer_before_its_clients_time_is_up() {
+    for class in ["chat", "once"] {
+        let mut host = Host::new();
+        let (client, _, _) = host.at_writer(class);
+        let out = host.pass(ms(4_795));
+        let answers = out.iter().filter(|o| matches!(o, Output::Write(c, _) if *c == client)).count();
+        assert_eq!(answers, 1, "{class}");
+        assert_ne!(status(&out, client), Some(200));
+        assert_eq!(
+            host.pass(ms(2_000)).iter().filter(|o| matches!(o, Output::Write(c, _) if *c == client)).count(),
+            0
+        );
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_ends_its_client_in_order_without_the_last_chunk() {
+    type Deed = dyn Fn(&mut Host, ConnId) -> Vec<Output>;
+    let breaks: [&Deed; 5] = [
+        &|h, w| h.tell(lost(w, Loss::Reset)),
+        &|h, w| h.tell(Input::Eof(w)),
+        &|h, w| h.data(w, "zz\r\n"),
+        &|h, w| h.data(w, "bb800000\r\ndata: "),
+        &|h, w| h.data(w, chunk("\u{7}\u{8}not an event\n\n")),
+    ];
+    for (n, deed) in breaks.into_iter().enumerate() {
+        let mut host = Host::new();
+        let (client, writer) = host.streaming("chat");
+        let out = deed(&mut host, writer);
+        assert!(finished(&out, client) && !text(&out, client).contains("0\r\n\r\n"), "case {n}");
+        assert_eq!((host.node.tally().failed, host.node.holds()[2]), (1, 0), "case {n}");
+    }
+    // One that falls silent is given up before its client has been left waiting for 5 s.
+    let mut host = Host::new();
+    let (client, _) = host.streaming("chat");
+    assert!(finished(&host.pass(ms(4_900)), client));
+}
+
+#[test]
+fn a_client_that_closes_has_gone_and_its_attempt_is_given_up() {
+    let mut host = Host::new();
+    let (client, writer, _) = host.at_writer("chat");
+    let out = host.tell(Input::Eof(client));
+    assert!(aborted(&out, writer));
+    assert_eq!(host.node.tally().left, 1);
+    let mut host = Host::new();
+    let (client, writer) = host.streaming("chat");
+    assert!(aborted(&host.tell(lost(client, Loss::Reset)), writer));
+    assert_eq!((host.node.tally().left, host.node.tally().failed, host.node.holds()[2]), (1, 0, 0));
+}
+
+#[test]
+fn what_follows_an_answer_that_was_asked_for_is_never_taken_for_the_next() {
+    let mut host = Host::new();
+    let (client, writer) = host.streaming("chat");
+    let whole = chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+    let out = host.data(writer, whole.clone() + "HTTP/1.1 200 OK\r\n");
+    assert!(text(&out, client).ends_with("0\r\n\r\n"), "the good answer is served whole");
+    assert!(ends(&out, writer), "the connection is not used again");
+    let mut host = Host::new();
+    let (client, writer) = host.streaming("chat");
+    let out = host.data(writer, whole);
+    assert!(text(&out, client).ends_with("0\r\n\r\n") && !ends(&out, writer));
+    assert!(ends(&host.data(writer, "HTTP/1.1 200 OK\r\n"), writer), "nor where it comes a moment later");
+}
+
+#[test]
+fn interim_answers_and_reports_that_cant_be_read_spoil_nothing() {
+    let mut host = Host::new();
+    let (client, writer, _) = host.at_writer("once");
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    let head =
+        STREAM_HEAD.replace("\r\n\r\n", "\r\nX-Load: pending=,\u{7f}\u{e9}\r\n\r\n").replace('\u{7f}', "");
+    let stream = format!("{interim}{head}{}{}0\r\n\r\n", chunk(&event("one")), chunk(": X-Load: ~~~\n\n"));
+    let out = host.data(writer, stream);
+    assert!(text(&out, client).contains("one") && text(&out, client).ends_with("0\r\n\r\n"));
+    assert_eq!(host.node.tally().served, 1);
+}
+
+#[test]
+fn a_slow_client_pauses_its_engine_and_one_that_takes_nothing_is_cut_off() {
+    let mut host = Host::new();
+    let (client, writer) = host.streaming("chat");
+    let mut out = Vec::new();
+    for _ in 0..40 {
+        out.extend(host.data(writer, chunk(&event(&"x".repeat(2_000)))));
+    }
+    assert!(out.contains(&Output::Pause(writer)));
+    let taken = bytes(&out, client).len();
+    assert!(host.tell(Input::Sent(client, taken)).contains(&Output::Resume(writer)));
+    for _ in 0..40 {
+        host.data(writer, chunk(&event(&"x".repeat(2_000))));
+    }
+    let out = host.pass(ms(10_100));
+    assert!(ends(&out, client) && aborted(&out, writer));
+}
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -45,6 +45,10 @@
     pub zones: Vec<String>,
     /// Engines close a connection that has stood idle for so long, at the latest; `None` if that is not told.
     pub idle_close: Option<Duration>,
+    /// Whether clients ask for the rest of a stream that broke.
+    pub resumes: bool,
+    /// The longest time that a client of any class waits; `None` if that is not told.
+    pub longest_wait: Option<Duration>,
 }
 
 /// A name as the pairs hold it: blanks and commas turned into `_`.
@@ -227,14 +231,22 @@
     let named = |list: &str, n: usize| {
         (0..n).map(|i| pairs.get(&format!("{list}.{i}.name")).unwrap_or("").to_owned()).collect::<Vec<_>>()
     };
+    let waits = (0..settings.classes.len()).map(|i| format!("classes.{i}.deadline"));
+    let waits = waits.filter(|key| pairs.get(key).is_some()).map(|key| pairs.millis(&key, None));
+    let longest_wait = waits.collect::<Result<Vec<_>, _>>()?.into_iter().max();
     Ok(Profile {
+        resumes: pairs.flag("extra.resume")?,
+        longest_wait,
         columns: column_names.iter().map(|name| column(pairs, name)).collect(),
         column_names,
         classes: named("classes", settings.classes.len()),
         tenants: named("customers", settings.tenants.len()),
         kinds: names("host_types"),
         zones: names("azs"),
-        idle_close: pairs.get("limits.idle_close").map(|_| pairs.millis("limits.idle_close", None)).transpose()?,
+        idle_close: pairs
+            .get("limits.idle_close")
+            .map(|_| pairs.millis("limits.idle_close", None))
+            .transpose()?,
         settings,
     })
 }
@@ -297,7 +309,8 @@
             "report": {"columns": ["x1", "pending"], "source": "piggyback"},
             "limits": {"idle_close": 15000.0, "may_probe": true},
         });
-        let lines = "azs=hall_a,b\nhost_types=m1,m2\ntick=4.0\nclasses.count=1\nclasses.0.name=quick__check\n\
+        let lines =
+            "azs=hall_a,b\nhost_types=m1,m2\ntick=4.0\nclasses.count=1\nclasses.0.name=quick__check\n\
                      classes.0.target=800.0\nclasses.0.worth=2\nclasses.0.streaming=true\ncustomers.count=1\n\
                      customers.0.name=guild\ncustomers.0.quota_per_s=3.5\nextra.role_by_kind=read,write\n\
                      extra.let_go_by=500.0\nreport.columns=x1,pending\nreport.source=piggyback\n\
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`gate`]: cuts a machine off from some of its peers;
 //! - [`memory`]: drives machines in memory, in virtual time: the same seed gives the same bytes;
 //! - [`mark`]: how a request is known on both sides of the router;
+//! - [`platform`]: engines, discovery and clients that speak the platform's protocol;
 //! - [`ledger`]: where stand-ins note what they see, for the rule checker.
 
 #![forbid(unsafe_code)]
@@ -16,3 +17,4 @@
 pub mod ledger;
 pub mod mark;
 pub mod memory;
+pub mod platform;
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,92 @@
+//! Stand-ins for what speaks the platform's protocol: engines, discovery and clients, as machines.
+//!
+//! [`Fabric`] is what they share: where read states wait, and what was seen that breaks a rule. Engines fault by chance,
+//! drawn from a seed ([`Faults`]).
+
+mod client;
+mod discovery;
+mod engine;
+
+pub use client::{Clients, Ending};
+pub use discovery::{Discovery, Listing};
+pub use engine::{Engine, Faults};
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// What stand-ins of one fleet share.
+#[derive(Debug, Default)]
+pub struct Fabric {
+    /// By request: the engine that holds its state, since when no attempt is out.
+    pub states: BTreeMap<String, (String, Duration)>,
+    /// By request: the engines at which attempts are out.
+    pub out: BTreeMap<String, Vec<String>>,
+    /// Second copies, since when: that a connection was closed may still be on its way to the first's engine.
+    pub twice: Vec<(Duration, String)>,
+    /// By engine: the same.
+    pub at: BTreeMap<String, usize>,
+    /// Requests that a writer has begun to answer.
+    pub written: BTreeSet<String>,
+    /// What was seen that must not be.
+    pub broken: Vec<String>,
+}
+
+/// A fabric in many hands.
+pub type Shared = Arc<Mutex<Fabric>>;
+
+/// The fabric, whoever else has panicked.
+pub fn look(shared: &Shared) -> MutexGuard<'_, Fabric> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How long a close may be on its way.
+const ON_ITS_WAY: Duration = Duration::from_millis(1);
+
+impl Fabric {
+    /// An engine's process has died: its work and what it held are gone.
+    pub fn dies(&mut self, engine: &str) {
+        self.at.remove(engine);
+        self.out.values_mut().for_each(|out| out.retain(|e| e != engine));
+        self.out.retain(|_, out| !out.is_empty());
+        self.states.retain(|_, (holder, _)| holder != engine);
+    }
+
+    fn begin(&mut self, request: &str, engine: &str, now: Duration) {
+        let out = self.out.entry(request.to_owned()).or_default();
+        out.push(engine.to_owned());
+        if out.len() > 1 {
+            self.twice.push((now, request.to_owned()));
+        }
+        *self.at.entry(engine.to_owned()).or_default() += 1;
+    }
+
+    fn end(&mut self, request: &str, engine: &str, now: Duration) {
+        if let Some(out) = self.out.get_mut(request) {
+            if let Some(at) = out.iter().position(|e| e == engine) {
+                out.remove(at);
+            }
+            if out.is_empty() {
+                self.out.remove(request);
+            }
+            self.twice.retain(|(since, name)| name != request || now > *since + ON_ITS_WAY);
+        }
+        if let Some(at) = self.at.get_mut(engine) {
+            *at -= 1;
+            if *at == 0 {
+                self.at.remove(engine);
+            }
+        }
+        if let Some((_, since)) = self.states.get_mut(request) {
+            *since = now;
+        }
+    }
+
+    /// States that have waited for longer than `bound` while no attempt was out.
+    pub fn pinned(&self, now: Duration, bound: Duration) -> Vec<String> {
+        let pinned = |(name, (_, since)): (&String, &(String, Duration))| {
+            (!self.out.contains_key(name) && now > *since + bound).then(|| name.clone())
+        };
+        self.states.iter().filter_map(pinned).collect()
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,6 +14,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+mod gauge;
+
 /// Factor of the refusal curve; no unit. From the llm-d post.
 const CURVE_FACTOR: f64 = 300.0;
 /// Power of the refusal curve; no unit. From the llm-d post.
@@ -244,11 +246,6 @@
         }
     }
 
-    /// How many requests, timers and engines are kept: a gauge for the host.
-    pub fn kept(&self) -> (usize, usize, usize) {
-        (self.jobs.len(), self.alarms.len(), self.servers.len())
-    }
-
     // ---- 1. Admit -------------------------------------------------------------------------
 
     fn on_request(&mut self, now: Duration, request: Request, out: Out) {
