Young connections outlast idle ones; the last byte of an unsafe request is held back

Ruled out: CPU (0.13 s in the worst second), memory (2 MB), engines. At fault: clients.rs evict closed the silent connection that was oldest, which in a crowd that asks once and stays is the one accepted a moment ago, with its first request on the way. Change: silent ones yield once they are 400 ms old, then idle ones, then young ones. Further: an unsafe write leaves all but its last byte and 3 ms later that, so that a connection reset as the request comes in proves that nothing ran. Tests: bad_clients.rs a_connection_whose_first_request..., requests.rs a_connection_reset_as_an_unsafe_request...

--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -88,15 +88,14 @@
         let conn = match slot {
             Slot::Idle(conn) => {
                 if let Some(link) = self.links.get_mut(&conn) {
-                    link.begin(used_for, now, bytes.len());
+                    out.push(Output::Write(conn, link.begin(used_for, now, bytes, sure)));
                 }
-                out.push(Output::Write(conn, bytes));
                 conn
             }
             Slot::Open if self.make_room(out) => {
                 let conn = self.opened();
                 self.tally.opened += 1;
-                self.links.insert(conn, Link::new(conn, engine, addr, used_for, now, bytes));
+                self.links.insert(conn, Link::new(conn, engine, addr, used_for, now, bytes, sure));
                 out.push(Output::Connect(conn, addr));
                 conn
             }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -29,15 +29,17 @@
     }
 
     /// Room for one more client is made by closing the one that has said nothing for longest, else the one that stands
-    /// idle longest. False if all are at work.
+    /// idle longest, else a young one that has said nothing yet. False if all are at work.
     fn evict(&mut self, out: &mut Vec<Output>) -> bool {
+        let old = |c: &&Client| self.unheard.get(&c.conn).is_some_and(|&at| self.now >= at + room::YOUNG);
         let silent =
             |c: &&Client| self.unheard.contains_key(&c.conn) && !matches!(c.state, State::Serving(_));
         let oldest =
             |clients: Vec<&Client>| clients.into_iter().min_by_key(|c| (c.since, c.conn)).map(|c| c.conn);
-        let found = oldest(self.clients.values().filter(silent).collect());
-        let idle = |c: &&Client| c.state == State::Idle;
+        let found = oldest(self.clients.values().filter(silent).filter(old).collect());
+        let idle = |c: &&Client| c.state == State::Idle && !self.unheard.contains_key(&c.conn);
         let found = found.or_else(|| oldest(self.clients.values().filter(idle).collect()));
+        let found = found.or_else(|| oldest(self.clients.values().filter(silent).collect()));
         let Some(conn) = found else { return false };
         self.tally.turned += 1;
         out.push(Output::Abort(conn));
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -10,8 +10,7 @@
     pub(crate) fn link_connected(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         let now = self.now;
         let Some(link) = self.links.get_mut(&conn).filter(|l| l.state == State::Connecting) else { return };
-        (link.state, link.since) = (State::Busy, now);
-        out.push(Output::Write(conn, std::mem::take(&mut link.pending)));
+        out.push(Output::Write(conn, link.stands(now)));
         self.arm_link(conn);
     }
 
@@ -47,7 +46,7 @@
     pub(crate) fn link_lost(&mut self, conn: ConnId, why: Loss, out: &mut Vec<Output>) {
         if let Some(link) = self.forget_link(conn) {
             self.broke(&link);
-            self.carried_ended(&link, loss_outcome(why, link.unsent), out);
+            self.carried_ended(&link, loss_outcome(why, &link), out);
         }
     }
 
@@ -55,7 +54,7 @@
         if let Some(link) = self.forget_link(conn) {
             out.push(Output::Abort(conn));
             self.broke(&link);
-            self.carried_ended(&link, Outcome::Reset, out);
+            self.carried_ended(&link, loss_outcome(Loss::Reset, &link), out);
         }
     }
 
@@ -68,6 +67,10 @@
 
     /// Its time is up, by its state.
     pub(crate) fn link_late(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        if let Some(link) = self.links.get_mut(&conn).filter(|l| l.holds_back()) {
+            out.push(Output::Write(conn, std::mem::take(&mut link.pending)));
+            return self.arm_link(conn);
+        }
         match self.links.get(&conn).map(|l| l.state) {
             Some(State::Connecting) => self.drop_link(conn, Outcome::ConnectFailed, out),
             Some(State::Busy) => self.drop_link(conn, Outcome::TimedOut, out),
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -73,8 +73,10 @@
     pub(crate) used_for: Use,
     /// Since when the state lasts; in a stream: when it last said something.
     pub(crate) since: Duration,
-    /// Written when the connection stands.
+    /// What of the request is still to be written: all until the connection stands, then the last byte that is held back.
     pub(crate) pending: Vec<u8>,
+    /// The request must not be repeated once it may have run.
+    once: bool,
     /// Bytes of the request that have not left the driver.
     pub(crate) unsent: usize,
     pub(crate) paused: bool,
@@ -104,6 +106,7 @@
 impl Link {
     pub(crate) fn new(
         conn: ConnId, engine: EngineId, addr: SocketAddr, used_for: Use, now: Duration, pending: Vec<u8>,
+        once: bool,
     ) -> Self {
         Link {
             conn,
@@ -114,6 +117,7 @@
             since: now,
             unsent: pending.len(),
             pending,
+            once,
             paused: false,
             on_trust: false,
             reusable: false,
@@ -122,10 +126,27 @@
         }
     }
 
-    /// A further exchange begins on it.
-    pub(crate) fn begin(&mut self, used_for: Use, now: Duration, bytes: usize) {
-        (self.state, self.used_for, self.since, self.unsent) = (State::Busy, used_for, now, bytes);
+    /// A further exchange begins on it. Gives what to write now.
+    pub(crate) fn begin(&mut self, used_for: Use, now: Duration, bytes: Vec<u8>, once: bool) -> Vec<u8> {
+        (self.used_for, self.unsent, self.pending, self.once) = (used_for, bytes.len(), bytes, once);
         (self.reusable, self.body, self.on_trust) = (false, Body::None, true);
+        self.stands(now)
+    }
+
+    /// It stands, and the exchange begins. Gives what to write now.
+    ///
+    /// Of a request that must not be repeated the last byte is held back for a moment. Some peers reset a connection as
+    /// the next request comes in; one whose last byte was never written has not run, and goes elsewhere.
+    pub(crate) fn stands(&mut self, now: Duration) -> Vec<u8> {
+        (self.state, self.since) = (State::Busy, now);
+        let held = self.pending.len().saturating_sub(1);
+        let held = if self.once { self.pending.split_off(held) } else { Vec::new() };
+        std::mem::replace(&mut self.pending, held)
+    }
+
+    /// Whether its last byte is held back.
+    pub(crate) fn holds_back(&self) -> bool {
+        self.state == State::Busy && !self.pending.is_empty()
     }
 
     /// Takes bytes; appends what they said. Nothing more is to be fed after `Spoilt`.
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -251,6 +251,7 @@
             (_, Use::Word(_)) => Some(link.since + room::WORD),
             (LinkState::Connecting, _) => Some(link.since + self.profile.settings.limits.connect_timeout),
             (LinkState::Busy, Use::Probe) => Some(link.since + room::PROBE),
+            (LinkState::Busy, Use::Attempt { .. }) if link.holds_back() => Some(link.since + room::HOLD_BACK),
             (LinkState::Busy, Use::Attempt { call, attempt }) => {
                 let begun = self.calls.get(&RequestId(call)).is_some_and(|c| c.begun == Some(attempt));
                 (begun && !link.paused).then(|| link.since + room::SILENT_STREAM)
@@ -534,11 +535,13 @@
 }
 
 /// What the loss of a connection that carried something means for the module. What had not been written whole never ran.
-pub(crate) fn loss_outcome(why: Loss, unsent: usize) -> Outcome {
+pub(crate) fn loss_outcome(why: Loss, link: &Link) -> Outcome {
     match why {
         Loss::NotConnected => Outcome::ConnectFailed,
         Loss::Exhausted => Outcome::Moot,
-        Loss::Reset if unsent > 0 => Outcome::ConnectFailed,
+        // One that was kept says nothing of whether its engine can be reached.
+        Loss::Reset if link.unsent > 0 && link.on_trust => Outcome::Moot,
+        Loss::Reset if link.unsent > 0 => Outcome::ConnectFailed,
         Loss::Reset => Outcome::Reset,
     }
 }
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -76,6 +76,11 @@
 pub(crate) const STOP_LONGEST: Duration = ms(3_000);
 /// So long before the kill nothing is left unanswered.
 pub(crate) const STOP_SPARE: Duration = ms(450);
+/// The last byte of a request that must not be repeated is held back for so long: a peer that resets the connection as a
+/// request comes in is seen to do so in this time.
+pub(crate) const HOLD_BACK: Duration = ms(3);
+/// A connection that has said nothing for less is not closed to make room: its first request may be on its way.
+pub(crate) const YOUNG: Duration = ms(400);
 /// A connection rests for so long after an answer before it is used again: an engine that closes it, or sends a second
 /// answer, is seen to do so in this time.
 pub(crate) const REST: Duration = ms(8);
--- a/crates/platform/tests/bad_clients.rs
+++ b/crates/platform/tests/bad_clients.rs
@@ -100,22 +100,45 @@
     assert_eq!(host.node.tally().taken, 1);
 }
 
+/// So many connections come in and say nothing. Gives those that were closed for them.
+fn crowd(host: &mut Host, from: u64, count: u64) -> Vec<ConnId> {
+    let accepted = (from..from + count).flat_map(|n| host.tell(Input::Accepted(ConnId(n), Door(0))));
+    accepted.filter_map(|o| if let Output::Abort(c) = o { Some(c) } else { None }).collect()
+}
+
 #[test]
 fn silent_connections_yield_first_then_idle_ones_and_those_at_work_never() {
     let mut host = Host::new();
     let (working, _) = host.streaming("chat");
     let used = host.client();
     host.data(used, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
-    let mut evicted = Vec::new();
-    for n in 0..400 {
-        let conn = ConnId(10_000 + n);
-        let out = host.tell(Input::Accepted(conn, Door(0)));
-        evicted.extend(out.iter().filter_map(|o| if let Output::Abort(c) = o { Some(*c) } else { None }));
-        assert!(!ends(&out, used) && !ends(&out, working), "silent ones are there to go first");
-    }
+    let [before, ..] = host.node.holds();
+    assert_eq!(before, 2);
+    assert!(crowd(&mut host, 10_000, 100).is_empty());
+    host.pass(ms(500));
+    let evicted = crowd(&mut host, 20_000, 60);
+    assert_eq!(evicted[..3], [10_000, 10_001, 10_002].map(ConnId), "the oldest of the silent first");
+    let evicted = crowd(&mut host, 30_000, 300);
+    assert!(evicted.contains(&used) && !evicted.contains(&working));
     let [clients, links, ..] = host.node.holds();
     assert!(clients + links < 256 - 16, "{clients} {links}");
-    assert_eq!(evicted[..3], [ConnId(10_000), ConnId(10_001), ConnId(10_002)], "the oldest first");
+}
+
+#[test]
+fn a_connection_whose_first_request_is_on_its_way_outlasts_idle_ones() {
+    let mut host = Host::new();
+    for n in 0..200 {
+        let conn = host.client();
+        host.data(conn, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        if n % 10 == 0 {
+            host.pass(ms(20));
+        }
+    }
+    let young = host.client();
+    let evicted = crowd(&mut host, 10_000, 30);
+    assert!(evicted.len() >= 30 && !evicted.contains(&young), "{evicted:?}");
+    let out = host.data(young, request("chat", "1"));
+    assert_eq!(opened(&out).len(), 1, "it is served");
 }
 
 #[test]
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -110,7 +110,10 @@
         self.connected(reader);
         let out = self.data(reader, READ);
         let (writer, _) = opened(&out)[0];
-        let out = self.connected(writer);
+        let mut out = self.connected(writer);
+        // The last byte of what must not be repeated comes a moment later.
+        out.extend(self.pass(ms(4)));
+        self.tell(Input::Sent(writer, 1));
         (client, writer, out)
     }
 
--- a/crates/platform/tests/requests.rs
+++ b/crates/platform/tests/requests.rs
@@ -92,6 +92,45 @@
     assert_eq!((status(&out, client), opened(&out).len()), (None, 1));
 }
 
+#[test]
+fn a_connection_reset_as_an_unsafe_request_comes_in_has_not_run_it() {
+    // On a new connection, and on one that was kept.
+    for kept in [false, true] {
+        let mut host = Host::new();
+        if kept {
+            let (_, writer, _) = host.at_writer("chat");
+            host.data(writer, format!("{STREAM_HEAD}{}0\r\n\r\n", chunk(&event("one"))));
+            host.pass(ms(20));
+        }
+        let client = host.client();
+        let out = host.data(client, request("once", "2"));
+        let reader = match opened(&out).first() {
+            Some(&(conn, _)) => {
+                host.connected(conn);
+                conn
+            }
+            None => {
+                out.iter().find_map(|o| if let Output::Write(c, _) = o { Some(*c) } else { None }).unwrap()
+            }
+        };
+        let out = host.data(reader, READ);
+        let writer = match opened(&out).first() {
+            Some(&(conn, _)) => conn,
+            None => {
+                out.iter().find_map(|o| if let Output::Write(c, _) = o { Some(*c) } else { None }).unwrap()
+            }
+        };
+        let reused = opened(&out).is_empty();
+        let written = if reused { out } else { host.connected(writer) };
+        let n = if reused { bytes(&written, writer).len() } else { 0 };
+        assert!(!text(&written, writer).ends_with(BODY), "the last byte is held back");
+        host.tell(Input::Sent(writer, n));
+        host.pass(ms(1));
+        let out = host.tell(lost(writer, Loss::Reset));
+        assert_eq!(status(&out, client), None, "kept {kept}: it goes to the other writer");
+    }
+}
+
 #[test]
 fn a_connection_that_does_not_come_up_is_given_up_at_the_sites_time() {
     let mut host = Host::new();
