--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -18,8 +18,9 @@
     pub(crate) out: bool,
     /// Whether state may be held for it: it was a read that has come to an engine.
     holds: bool,
-    /// It ended without its engine's word.
-    unsure: bool,
+    /// How it ended.
+    outcome: Option<Outcome>,
+    reads: bool,
 }
 
 /// A request under way.
@@ -85,7 +86,15 @@
         let mut bytes =
             http::request_head(&self.method, &self.target, &fields, Framing::Length(self.body.len()));
         bytes.extend_from_slice(&self.body);
-        self.attempts.push(Attempt { engine, conn: None, sent: now, out: true, holds: reads, unsure: false });
+        self.attempts.push(Attempt {
+            engine,
+            conn: None,
+            sent: now,
+            out: true,
+            holds: reads,
+            outcome: None,
+            reads,
+        });
         (self.attempts.len() - 1, bytes)
     }
 
@@ -93,7 +102,7 @@
     pub(crate) fn ended(&mut self, attempt: usize, outcome: Outcome) {
         let Some(a) = self.attempts.get_mut(attempt) else { return };
         (a.out, a.conn) = (false, None);
-        a.unsure = matches!(outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
+        a.outcome = Some(outcome);
         a.holds &= !matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
     }
 
@@ -116,7 +125,9 @@
     /// Whether a word may come too early: an attempt was given up or broke off, and while its engine has not seen that, a
     /// read may still leave its state there, and a write that waits for state may still keep it from being let go of.
     pub(crate) fn may_yet_hold(&self) -> bool {
-        self.attempts.iter().any(|a| a.unsure)
+        let unsure =
+            |a: &Attempt| matches!(a.outcome, Some(Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled));
+        self.attempts.iter().any(unsure)
     }
 
     /// It is being let go of by this word.
@@ -131,6 +142,20 @@
         (self.word, self.owes) = (None, Some(holder));
     }
 
+    /// What became of it so far, for the staff.
+    pub(crate) fn story(&self, now: Duration) -> String {
+        let attempts = self.attempts.iter().map(|a| {
+            let (kind, age) =
+                (if a.reads { "read" } else { "write" }, now.saturating_sub(a.sent).as_millis());
+            let end = a.outcome.map_or_else(|| "out".to_owned(), |o| format!("{o:?}"));
+            format!("{kind} {age} ms ago {end}")
+        });
+        let attempts: Vec<String> = attempts.collect();
+        let kind = if self.is_unsafe { "unsafe" } else { "repeatable" };
+        let left = self.deadline.saturating_sub(now).as_millis();
+        format!("{kind}, {left} ms left: {}", attempts.join(", "))
+    }
+
     /// Nothing more can come of it.
     pub(crate) fn is_done(&self) -> bool {
         self.over && self.attempts.iter().all(|a| !a.out)
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -232,6 +232,7 @@
         &mut self, id: RequestId, after: Option<Duration>, over_share: bool, out: &mut Vec<Output>,
     ) {
         self.tally.refused += 1;
+        self.say_why("refused", id, out);
         let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
         let fields: Vec<(&str, &str)> = after.iter().map(|after| ("retry-after", after.as_str())).collect();
         let status = if over_share { 429 } else { 503 };
@@ -240,9 +241,16 @@
 
     pub(crate) fn fail(&mut self, id: RequestId, out: &mut Vec<Output>) {
         self.tally.failed += 1;
+        self.say_why("failed", id, out);
         self.answer_call(id, 502, &[], "failed; it may have run", out);
     }
 
+    /// How a request came to its end, for the staff.
+    fn say_why(&mut self, what: &str, id: RequestId, out: &mut Vec<Output>) {
+        let Some(story) = self.calls.get(&id).map(|c| c.story(self.now)) else { return };
+        self.note(|| format!("{what}: {story}"), out);
+    }
+
     pub(crate) fn begin_stream(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(client) = self.calls.get(&id).map(|c| c.client) else { return };
         if let Some(client) = self.clients.get_mut(&client) {
@@ -275,6 +283,7 @@
     /// A stream has broken: the client's connection ends in order, without the last chunk.
     pub(crate) fn break_off(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(conn) = self.calls.get(&id).filter(|c| !c.over).map(|c| c.client) else { return };
+        self.say_why("broke off", id, out);
         self.close(id);
         self.tally.failed += 1;
         if self.clients.contains_key(&conn) {
