--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,189 @@
+//! `slipreel node` as the platform runs it: a process of its own, over sockets, with stand-ins around it.
+
+use slipreel_machine::Machine;
+use slipreel_net::{Clock, Command as Tell, Loop};
+use slipreel_standin::platform::{look, Clients, Discovery, Ending, Engine, Faults, Listing, Shared};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn entry(name: &str, reads: bool, addr: SocketAddr) -> (String, String) {
+    let kind = if reads { "reads" } else { "writes" };
+    let text = format!(
+        r#"{{"name":"{name}","address":"{addr}","zone":"a","type":"{kind}","group":1,"status":"Ready","weight":1.0,"since_ms":0}}"#
+    );
+    (name.to_owned(), text)
+}
+
+fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":512}},"known":{known},
+        "settings":{{"balancers":1,"azs":["a"],"zone":0,"tick":4.0,"host_types":["reads","writes"],
+          "classes":[{{"name":"chat","target":1000.0,"worth":1.0,"idempotency":"safe","streaming":true}},
+                     {{"name":"once","target":1000.0,"worth":3.0,"idempotency":"unsafe","streaming":true}}],
+          "customers":[{{"name":"acme","quota_per_s":500.0}}],
+          "extra":{{"role_by_kind":["read","write"],"let_go_by":500.0,"resume":true,
+                   "report_x0":"share_of_memory_that_is_held"}},
+          "report":{{"columns":["pending","x0"],"source":"piggyback"}},
+          "limits":{{"cancelling":true,"may_probe":true,"retry_after":true,"max_retry_after":2000.0,"send_cap":4,
+                    "connect_timeout":250.0,"idle_close":30000.0}}}}}}"#
+    )
+}
+
+/// A process that is ended whatever happens.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.0.id().to_string()]).status().expect("kill");
+        assert!(status.success());
+    }
+
+    /// Its exit code, if it ends in this time.
+    fn ends_within(&mut self, time: Duration) -> Option<i32> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if let Some(status) = self.0.try_wait().expect("a child") {
+                return status.code();
+            }
+            std::thread::sleep(ms(20));
+        }
+        None
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn is_ready(addr: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&addr, ms(200)) else { return false };
+    let _ = stream.set_read_timeout(Some(ms(500)));
+    let asked = stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    let mut answer = String::new();
+    asked.is_ok() && stream.read_to_string(&mut answer).is_ok() && answer.starts_with("HTTP/1.1 200 ")
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("slipreel-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn start(file: &PathBuf) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_slipreel"));
+    command.arg("node").env("LB_CONFIG", file).stderr(Stdio::null());
+    Process(command.spawn().expect("the program"))
+}
+
+#[test]
+fn a_node_serves_through_reloads_and_ends_in_order() {
+    let shared = Shared::default();
+    let clock = Clock::start();
+    let mut around: Loop<Box<dyn Machine + Send>> = Loop::new(clock).expect("an event loop");
+    let here = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut first = Vec::new();
+    for n in 0..5 {
+        let (name, reads) = (format!("e{n}"), n < 2);
+        let faults = Faults { full: 0.05, more: 0.1, ..Faults::default() };
+        let node = around.add(Box::new(Engine::new(&name, reads, shared.clone(), faults, n)));
+        first.push(entry(&name, reads, around.listen(node, here).expect("a port")));
+    }
+    let known = Discovery::new(&Listing(first.clone())).whole();
+    let discoveries = [0, 1].map(|_| {
+        let node = around.add(Box::new(Discovery::new(&Listing(first.clone()))));
+        around.listen(node, here).expect("a port")
+    });
+    let stop_around = around.handle();
+    let around = std::thread::spawn(move || around.run());
+
+    let (listen, folder) = (free_port(), folder("node"));
+    let file = folder.join("config.json");
+    std::fs::write(&file, config(listen, discoveries[0], &known)).expect("a file");
+    let mut process = start(&file);
+    let until = Instant::now() + ms(10_000);
+    while !is_ready(listen) {
+        assert!(Instant::now() < until, "not ready in time");
+        std::thread::sleep(ms(20));
+    }
+
+    let mut asking: Loop<Clients> = Loop::new(clock).expect("an event loop");
+    asking.add(Clients::new(listen, &["chat", "once"], ms(8), 300, clock.now() + ms(10), 3));
+    let stop_asking = asking.handle();
+    let asking = std::thread::spawn(move || {
+        asking.run().map(|()| asking.into_machines().remove(0)).expect("a run of clients")
+    });
+    std::thread::sleep(ms(600));
+    std::fs::write(&file, "{\"name\":").expect("a file");
+    process.signal("-HUP");
+    std::thread::sleep(ms(300));
+    std::fs::write(&file, config(listen, discoveries[1], &known)).expect("a file");
+    process.signal("-HUP");
+    std::thread::sleep(ms(4_000));
+    assert_eq!(process.ends_within(ms(1)), None, "a reload ends nothing");
+    stop_asking.tell(Tell::End);
+    let clients = asking.join().expect("the clients' thread");
+    process.signal("-TERM");
+    assert_eq!(process.ends_within(ms(5_000)), Some(0));
+    stop_around.tell(Tell::End);
+    around.join().expect("the engines' thread").expect("a run of engines");
+
+    assert_eq!(clients.endings.values().sum::<u32>(), 300, "{:?}", clients.endings);
+    assert_eq!(clients.odd, [""; 0], "{:?}", clients.endings);
+    assert!(clients.endings[&Ending::Served] > 240, "{:?}", clients.endings);
+    assert_eq!(look(&shared).broken, [""; 0]);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn what_is_missing_or_cant_be_read_is_named_and_ends_with_2() {
+    let folder = folder("start");
+    let good = config(free_port(), free_port(), "null");
+    let cases = [
+        ("no file", None, "absent.json"),
+        ("no JSON", Some("{".to_owned()), "no JSON"),
+        ("no seed", Some(good.replace("\"seed\":\"8c1f30d27a5be964\",", "")), "seed: missing"),
+        (
+            "an address",
+            Some(good.replace("\"discovery\":\"127", "\"discovery\":\"x127")),
+            "discovery: \"x127",
+        ),
+        ("a limit", Some(good.replace("\"sockets\":512", "\"sockets\":-1")), "limits.sockets: -1"),
+        ("a setting", Some(good.replace("\"tick\":4.0", "\"tick\":\"soon\"")), "settings: tick"),
+        ("a list", Some(good.replace("\"known\":null", "\"known\":{}")), "known.endpoints: missing"),
+    ];
+    for (what, text, expected) in cases {
+        let file = folder.join(if text.is_some() { "config.json" } else { "absent.json" });
+        if let Some(text) = &text {
+            std::fs::write(&file, text).expect("a file");
+        }
+        let output = Command::new(env!("CARGO_BIN_EXE_slipreel"))
+            .arg("node")
+            .env("LB_CONFIG", &file)
+            .output()
+            .expect("it");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{what}: {said}");
+        assert!(said.contains(expected), "{what}: {said}");
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_slipreel"));
+    let output = command.arg("node").env_remove("LB_CONFIG").output().expect("it");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("LB_CONFIG"));
+    let _ = std::fs::remove_dir_all(folder);
+}
