Writes hold back their last byte where kept connections break; a reset before it ejects nobody

At fault: node.rs loss_outcome, carry.rs send. Change: a connection that stood and broke before the last byte is told as never sent; writes that may be repeated hold back too while kept connections break.

--- a/crates/links/src/trust.rs
+++ b/crates/links/src/trust.rs
@@ -52,6 +52,11 @@
         self.uses % TRIAL == 0
     }
 
+    /// Whether kept connections to it broke lately.
+    pub fn is_shaken(&self, engine: EngineId) -> bool {
+        self.by_engine.get(&engine).copied().unwrap_or_default().max(self.all) >= UNSURE
+    }
+
     /// How many idle connections to an engine are worth keeping, of so many.
     pub fn keeps(&self, engine: EngineId, most: usize) -> usize {
         let share = self.by_engine.get(&engine).copied().unwrap_or_default().max(self.all);
--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -1,6 +1,6 @@
 //! Carries out what the module decides: attempts, probes, words to let go, final answers.
 
-use crate::link::{Link, State, Use};
+use crate::link::{Care, Link, State, Use};
 use crate::node::{Alarm, Node};
 use crate::room;
 use slipreel::{Action, Ended, EngineId, Event, LoadReport, Outcome, ReportSource, RequestId, Role};
@@ -51,8 +51,13 @@
         }
         self.tally.attempts += 1;
         let used_for = Use::Attempt { call: id.0, attempt };
-        let sure = is_unsafe && !reads;
-        let Some(conn) = self.exchange(engine, addr, used_for, bytes, sure, out) else {
+        // Where kept connections break under the next request, it pays for every write to know that it has not run.
+        let care = match (reads, is_unsafe) {
+            (false, true) => Care::Once,
+            (false, false) if self.trust.is_shaken(engine) => Care::HoldBack,
+            _ => Care::None,
+        };
+        let Some(conn) = self.exchange(engine, addr, used_for, bytes, care, out) else {
             return self.ended(id, attempt, Outcome::Moot, 0.0, LoadReport::default());
         };
         if let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempts.get_mut(attempt)) {
@@ -63,10 +68,9 @@
         }
     }
 
-    /// Puts an exchange on an idle connection or on a new one. `sure`: only on one that the engine can't have closed.
-    /// `None` if there is no room for one.
+    /// Puts an exchange on an idle connection or on a new one. `None` if there is no room for one.
     pub(crate) fn exchange(
-        &mut self, engine: EngineId, addr: SocketAddr, used_for: Use, bytes: Vec<u8>, sure: bool,
+        &mut self, engine: EngineId, addr: SocketAddr, used_for: Use, bytes: Vec<u8>, care: Care,
         out: &mut Vec<Output>,
     ) -> Option<ConnId> {
         let now = self.now;
@@ -78,24 +82,24 @@
         // A word is told again if it breaks, and goes out as soon as it can.
         let rested = match used_for {
             Use::Word(_) => now,
-            _ if self.trust.may_use(engine, sure) => now.saturating_sub(room::REST),
+            _ if self.trust.may_use(engine, care == Care::Once) => now.saturating_sub(room::REST),
             _ => Duration::ZERO,
         };
-        if sure {
+        if care == Care::Once {
             self.close_unsure(engine, out);
         }
         let slot = self.pool.take(engine, usize::MAX - 1, errand, rested);
         let conn = match slot {
             Slot::Idle(conn) => {
                 if let Some(link) = self.links.get_mut(&conn) {
-                    out.push(Output::Write(conn, link.begin(used_for, now, bytes, sure)));
+                    out.push(Output::Write(conn, link.begin(used_for, now, bytes, care)));
                 }
                 conn
             }
             Slot::Open if self.make_room(out) => {
                 let conn = self.opened();
                 self.tally.opened += 1;
-                self.links.insert(conn, Link::new(conn, engine, addr, used_for, now, bytes, sure));
+                self.links.insert(conn, Link::new(conn, engine, addr, used_for, now, bytes, care));
                 out.push(Output::Connect(conn, addr));
                 conn
             }
@@ -181,6 +185,7 @@
         let finished = call.over;
         self.reap.push(id);
         let report = self.allowed(report);
+        self.tally.reports += u64::from(report != LoadReport::default());
         self.tell(Event::Ended(Ended {
             request: id,
             attempt,
@@ -210,12 +215,13 @@
         let path = if reports { "/-/load" } else { "/-/healthy" };
         let bytes = http::request_head("GET", path, &[("host", &addr.to_string())], Framing::Length(0));
         self.tally.probes += 1;
-        if self.exchange(engine, addr, Use::Probe, bytes, false, out).is_none() {
+        if self.exchange(engine, addr, Use::Probe, bytes, Care::None, out).is_none() {
             self.probed(engine, Outcome::Moot, LoadReport::default());
         }
     }
 
     pub(crate) fn probed(&mut self, engine: EngineId, outcome: Outcome, report: LoadReport) {
+        self.tally.reports += u64::from(report != LoadReport::default());
         self.tell(Event::Probed { engine, outcome, report });
     }
 
@@ -257,6 +263,6 @@
         let target = format!("/v1/holds/{}", word.name);
         let bytes = http::request_head("DELETE", &target, &[("host", &addr.to_string())], Framing::Length(0));
         self.tally.words += 1;
-        self.exchange(engine, addr, Use::Word(n), bytes, false, out);
+        self.exchange(engine, addr, Use::Word(n), bytes, Care::None, out);
     }
 }
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -34,6 +34,7 @@
         }
         let mut said = Vec::new();
         link.feed(bytes, &self.layout, &mut said);
+        self.tally.odd_reports += std::mem::take(&mut link.odd_reports);
         self.members.heard(engine, now);
         for said in said {
             self.heard(conn, said, out);
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -24,6 +24,17 @@
     Word(u64),
 }
 
+/// What care an exchange takes not to be run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Care {
+    None,
+    /// Its last byte is held back for a moment.
+    HoldBack,
+    /// It must not be repeated once it may have run: held back too, and only on a connection that its engine can hardly
+    /// have closed.
+    Once,
+}
+
 /// Where a connection stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum State {
@@ -75,8 +86,9 @@
     pub(crate) since: Duration,
     /// What of the request is still to be written: all until the connection stands, then the last byte that is held back.
     pub(crate) pending: Vec<u8>,
-    /// The request must not be repeated once it may have run.
-    once: bool,
+    care: Care,
+    /// Reports that could not be read, since it was last asked.
+    pub(crate) odd_reports: u64,
     /// Bytes of the request that have not left the driver.
     pub(crate) unsent: usize,
     pub(crate) paused: bool,
@@ -106,7 +118,7 @@
 impl Link {
     pub(crate) fn new(
         conn: ConnId, engine: EngineId, addr: SocketAddr, used_for: Use, now: Duration, pending: Vec<u8>,
-        once: bool,
+        care: Care,
     ) -> Self {
         Link {
             conn,
@@ -117,7 +129,8 @@
             since: now,
             unsent: pending.len(),
             pending,
-            once,
+            care,
+            odd_reports: 0,
             paused: false,
             on_trust: false,
             reusable: false,
@@ -127,20 +140,20 @@
     }
 
     /// A further exchange begins on it. Gives what to write now.
-    pub(crate) fn begin(&mut self, used_for: Use, now: Duration, bytes: Vec<u8>, once: bool) -> Vec<u8> {
-        (self.used_for, self.unsent, self.pending, self.once) = (used_for, bytes.len(), bytes, once);
+    pub(crate) fn begin(&mut self, used_for: Use, now: Duration, bytes: Vec<u8>, care: Care) -> Vec<u8> {
+        (self.used_for, self.unsent, self.pending, self.care) = (used_for, bytes.len(), bytes, care);
         (self.reusable, self.body, self.on_trust) = (false, Body::None, true);
         self.stands(now)
     }
 
     /// It stands, and the exchange begins. Gives what to write now.
     ///
-    /// Of a request that must not be repeated the last byte is held back for a moment. Some peers reset a connection as
+    /// Of a request that takes care the last byte is held back for a moment. Some peers reset a connection as
     /// the next request comes in; one whose last byte was never written has not run, and goes elsewhere.
     pub(crate) fn stands(&mut self, now: Duration) -> Vec<u8> {
         (self.state, self.since) = (State::Busy, now);
         let held = self.pending.len().saturating_sub(1);
-        let held = if self.once { self.pending.split_off(held) } else { Vec::new() };
+        let held = if self.care != Care::None { self.pending.split_off(held) } else { Vec::new() };
         std::mem::replace(&mut self.pending, held)
     }
 
@@ -182,7 +195,9 @@
             return if status == 101 { Err("status 101".into()) } else { Ok(()) };
         }
         self.reusable = head.keep_alive;
-        let report = head.get("x-load").and_then(|text| layout.read(text));
+        let report = head.get("x-load").map(|text| layout.read(text));
+        self.odd_reports += u64::from(report == Some(None));
+        let report = report.flatten();
         let kind = head.get("content-type").unwrap_or_default();
         self.body = if status == 200 && matches!(self.used_for, Use::Attempt { .. }) {
             if !kind.starts_with("text/event-stream") {
@@ -223,7 +238,7 @@
                         emit(whole, said);
                         return Err(format!("{odd:?} in a stream of events"));
                     }
-                    take_block(block, layout, report, &mut whole);
+                    take_block(block, layout, report, &mut self.odd_reports, &mut whole);
                     begun = at + 1;
                 }
                 held.drain(..begun);
@@ -247,7 +262,7 @@
                     return true;
                 }
                 let mut whole = Vec::new();
-                take_block(&held, layout, &mut report, &mut whole);
+                take_block(&held, layout, &mut report, &mut self.odd_reports, &mut whole);
                 emit(whole, said);
                 said.push(Said::End(report));
             }
@@ -265,7 +280,9 @@
 }
 
 /// An event as it came; a block of comments alone is none, and may hold a report.
-fn take_block(block: &[u8], layout: &Layout, report: &mut Option<LoadReport>, whole: &mut Vec<u8>) {
+fn take_block(
+    block: &[u8], layout: &Layout, report: &mut Option<LoadReport>, odd: &mut u64, whole: &mut Vec<u8>,
+) {
     let mut comments = true;
     for line in lines(block).filter(|line| !line.is_empty()) {
         let Some(comment) = line.strip_prefix(b":") else {
@@ -274,8 +291,11 @@
         };
         let told = std::str::from_utf8(comment).ok().and_then(|text| text.trim().split_once(':'));
         let told = told.filter(|(name, _)| name.eq_ignore_ascii_case("x-load"));
-        if let Some(told) = told.and_then(|(_, text)| layout.read(text)) {
-            *report = Some(told);
+        if let Some((_, text)) = told {
+            match layout.read(text) {
+                Some(told) => *report = Some(told),
+                None => *odd += 1,
+            }
         }
     }
     if !comments {
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -40,6 +40,10 @@
     pub spoilt: u64,
     /// Connections opened to engines.
     pub opened: u64,
+    /// Load reports that came with answers or probes and were told to the module.
+    pub reports: u64,
+    /// Reports that could not be read.
+    pub odd_reports: u64,
 }
 
 /// Why a timer was set.
@@ -539,9 +543,9 @@
     match why {
         Loss::NotConnected => Outcome::ConnectFailed,
         Loss::Exhausted => Outcome::Moot,
-        // One that was kept says nothing of whether its engine can be reached.
-        Loss::Reset if link.unsent > 0 && link.on_trust => Outcome::Moot,
-        Loss::Reset if link.unsent > 0 => Outcome::ConnectFailed,
+        // It stood, so its engine could be reached: told as a failure to connect, each such reset would have the engine
+        // left alone for a second.
+        Loss::Reset if link.unsent > 0 => Outcome::Moot,
         Loss::Reset => Outcome::Reset,
     }
 }
