Homes in the router's own zone weigh 2.5 times as much

Change: a smallest exception: the weight by which a reader is home counts 2.5 times in the router's own zone.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Bounds of a reader's weight as a home; no unit. Readers have room for a quarter more.
 const HOME_WEIGHTS: [f64; 2] = [0.75, 1.25];
+/// How much more a home in the router's own zone weighs; no unit. Most, not all: the other zone stays a home.
+const OWN_ZONE: f64 = 2.5;
 /// Tokens borne by the preferred engine against those by another above which that one is taken; no unit.
 const FAR_FACTOR: f64 = 2.0;
 /// Shortest time that an attempt may say nothing. Longer than a routine pause.
@@ -407,7 +409,8 @@
     }
 
     /// Puts the ready engines on their shelves. A reader is home in proportion to the writers of its cell, in
-    /// bounds: state that finds none goes far. Settled when the list changes, as nothing else moves it.
+    /// bounds: state that finds none goes far. Exception: a home in the router's own zone weighs more, as all
+    /// else crosses zones twice. Settled when the list changes, as nothing else moves it.
     fn shelve(&mut self) {
         let mut fleet = [0.0; 2];
         let mut cells: BTreeMap<CellId, [f64; 2]> = BTreeMap::new();
@@ -427,7 +430,8 @@
             let (role, ready) = (server.role as usize, server.ready());
             let [least, most] = if server.role == Role::Read { HOME_WEIGHTS } else { [1.0; 2] };
             let near = cells.get(&cell).copied().unwrap_or_default();
-            let weight = (ratio(near) / ratio(fleet)).clamp(least, most);
+            let own = if zone == self.settings.zone { OWN_ZONE } else { 1.0 };
+            let weight = own * (ratio(near) / ratio(fleet)).clamp(least, most);
             let alone = server.role == Role::Both || server.role == Role::Write && self.settings.writers_read;
             let reaches = [alone || server.role == Role::Read, alone, server.role != Role::Read];
             Placed { id, role, ready, weight, cell, zone, reaches }
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -27,7 +27,9 @@
     };
     let ratio = |near| count(near, Role::Write) / count(near, Role::Read);
     let bounds = if ROLES[home.kind.0] == Role::Read { [0.75, 1.25] } else { [1.0; 2] };
-    (ratio(true) / ratio(false)).clamp(bounds[0], bounds[1])
+    // The router's own zone is the first.
+    let own = if home.zone == ZoneId(0) { 2.5 } else { 1.0 };
+    own * (ratio(true) / ratio(false)).clamp(bounds[0], bounds[1])
 }
 
 /// The two homes of a request in the order of its session, then the two engines that it may spill to.
@@ -106,3 +108,18 @@
         }
     }
 }
+
+#[test]
+fn most_homes_lie_in_the_own_zone_and_some_do_not() {
+    // Four readers and a writer in each of two zones, one cell a zone.
+    let readers = (1..=8u64).map(|id| engine(id, 0, (id % 2) as u32));
+    let list: Vec<Engine> = readers.chain([engine(9, 1, 0), engine(10, 1, 1)]).collect();
+    let mut host = Host::new(settings(Effect::Safe), 3, list);
+    let own = |id: &&EngineId| id.0 % 2 == 0;
+    let mut firsts = 0;
+    for id in 0..400 {
+        firsts += asked(&mut host, id, id * 7_919, None).iter().take(2).filter(own).count();
+    }
+    let share = firsts as f64 / 800.0;
+    assert!((0.6..0.8).contains(&share), "{share}");
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -337,6 +337,8 @@
         .map(|id| engine(id, 0, 0))
         .chain([engine(5, 1, 0), engine(6, 0, 1), engine(7, 0, 1)])
         .chain((8..=11).map(|id| engine(id, 1, 1)))
+        // Cells of one zone: the own zone weighs more.
+        .map(|e| Engine { zone: ZoneId(0), ..e })
         .collect();
     let mut host = Host::new(settings(Effect::Safe), 1, engines);
     let home = |id| {
