The module is told which requests ask for the rest of a stream

Need: X-Retry: again was read by nobody; the simulator's flag for it was dropped by the adapter. Change: Request::resumes, set by adapter and node; the module does not use it yet.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -282,7 +282,8 @@
     let tenant = TenantId(usize::from(f.u16()?));
     let prompt_tokens = f.f32()?.unwrap_or(0.0);
     let class = ClassId(usize::from(f.u16()?));
-    let repeat = f.u8()? & 2 != 0;
+    let flags = f.u8()?;
+    let (repeat, resumes) = (flags & 2 != 0, flags & 16 != 0);
     f.f32()?; // length of the shared beginning
     let session = f.u64()?;
     let max_output_tokens = f.f32()?.unwrap_or(0.0);
@@ -300,6 +301,7 @@
         time_left,
         whole: None,
         repeat,
+        resumes,
     }))
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -225,6 +225,7 @@
             time_left: traits.time_left,
             whole: (!ask.stream).then(|| traits.told.unwrap_or(traits.time_left)),
             repeat: traits.repeat,
+            resumes: false,
         };
         self.tell(generation, Event::Request(request));
         Ok(())
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -282,6 +282,7 @@
             time_left,
             whole: (!p.stream).then_some(time_left),
             repeat: tries > 1,
+            resumes: false,
         };
         self.plan_at(self.now + time_left, Event::Leave { router, request: id, always: false });
         if let Habit::LeavesAfter(after) = p.habit {
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -111,6 +111,7 @@
             max_output_tokens: most.unwrap_or(0.0),
             time_left,
             repeat: once("x-retry")? == Some("1"),
+            resumes: once("x-retry")? == Some("again"),
             ..Request::default()
         },
     })
@@ -160,6 +161,9 @@
         let more = format!("{GOOD}X-Retry: 1\r\n").replace("4800m", "1500u");
         let ask = read(&profile(), &received(&more)).unwrap();
         assert_eq!((ask.request.time_left, ask.request.repeat), (Duration::from_micros(1500), true));
+        let again =
+            read(&profile(), &received(&more.replace("X-Retry: 1", "X-Retry: again"))).unwrap().request;
+        assert_eq!((again.repeat, again.resumes), (false, true));
         let short = GOOD.split("X-Extras").next().unwrap();
         assert_eq!(read(&profile(), &received(short)).unwrap().request.prompt_tokens, 2.0, "by its body");
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -233,6 +233,8 @@
     pub whole: Option<Duration>,
     /// Whether the client says that it has asked before.
     pub repeat: bool,
+    /// Whether it asks for the rest of a stream that broke or was moved.
+    pub resumes: bool,
 }
 
 /// How an attempt or a probe ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 //!         time_left: ms(4000),
 //!         whole: None,
 //!         repeat: false,
+//!         resumes: false,
 //!     }),
 //!     &mut actions,
 //! );
