--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,7 +7,7 @@
 use crate::members::Members;
 use crate::site::{EngineSite, Site};
 use slipreel::{Action, EngineId, Event, Listing, RequestId, Router, TimerId};
-use slipreel_links::{Client, LetGo, Pool, State as ClientState, TimerKey, Wheel};
+use slipreel_links::{Client, Due, LetGo, Pool, State as ClientState, Wheel};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -69,9 +69,9 @@
     pub(crate) brains: Vec<Brain>,
     pub(crate) members: Members,
     pub(crate) clients: HashMap<ConnId, Client>,
-    client_alarms: HashMap<ConnId, TimerKey>,
+    client_alarms: Due,
     pub(crate) links: HashMap<ConnId, Link>,
-    link_alarms: HashMap<ConnId, TimerKey>,
+    link_alarms: Due,
     pub(crate) pool: Pool,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) wheel: Wheel<Alarm>,
@@ -102,9 +102,9 @@
             brains: Vec::new(),
             members: Members::default(),
             clients: HashMap::new(),
-            client_alarms: HashMap::new(),
+            client_alarms: Due::default(),
             links: HashMap::new(),
-            link_alarms: HashMap::new(),
+            link_alarms: Due::default(),
             pool: Pool::default(),
             calls: BTreeMap::new(),
             wheel: Wheel::default(),
@@ -235,20 +235,20 @@
     /// Sets the timer of a client's connection by its state.
     pub(crate) fn arm_client(&mut self, conn: ConnId) {
         let due = self.clients.get(&conn).and_then(|c| self.client_due(c));
-        arm(&mut self.wheel, &mut self.client_alarms, conn, due, Alarm::Client(conn));
+        self.client_alarms.arm(&mut self.wheel, conn, due, Alarm::Client(conn));
     }
 
     /// Sets the timer of an engine's connection by its state.
     pub(crate) fn arm_link(&mut self, conn: ConnId) {
         let due = self.links.get(&conn).and_then(|l| self.link_due(l));
-        arm(&mut self.wheel, &mut self.link_alarms, conn, due, Alarm::Link(conn));
+        self.link_alarms.arm(&mut self.wheel, conn, due, Alarm::Link(conn));
     }
 
     fn fire(&mut self, alarm: Alarm, out: &mut Vec<Output>) {
         match alarm {
             Alarm::Module(generation, timer) => self.tell(generation, Event::Timer(timer)),
             Alarm::Client(conn) => {
-                self.client_alarms.remove(&conn);
+                self.client_alarms.fired(conn);
                 let due = self.clients.get(&conn).and_then(|c| self.client_due(c));
                 match due {
                     Some(at) if at <= self.now => self.client_late(conn, out),
@@ -256,7 +256,7 @@
                 }
             }
             Alarm::Link(conn) => {
-                self.link_alarms.remove(&conn);
+                self.link_alarms.fired(conn);
                 let due = self.links.get(&conn).and_then(|l| self.link_due(l));
                 match due {
                     Some(at) if at <= self.now => self.link_late(conn, out),
@@ -336,15 +336,11 @@
 
     pub(crate) fn forget_client(&mut self, conn: ConnId) {
         self.clients.remove(&conn);
-        if let Some(key) = self.client_alarms.remove(&conn) {
-            self.wheel.cancel(key);
-        }
+        self.client_alarms.cancel(&mut self.wheel, conn);
     }
 
     pub(crate) fn forget_link(&mut self, conn: ConnId) -> Option<Link> {
-        if let Some(key) = self.link_alarms.remove(&conn) {
-            self.wheel.cancel(key);
-        }
+        self.link_alarms.cancel(&mut self.wheel, conn);
         let link = self.links.remove(&conn)?;
         self.pool.gone(link.engine, conn);
         Some(link)
@@ -392,18 +388,6 @@
     }
 }
 
-fn arm(
-    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>,
-    alarm: Alarm,
-) {
-    if let Some(key) = keys.remove(&conn) {
-        wheel.cancel(key);
-    }
-    if let Some(at) = due {
-        keys.insert(conn, wheel.set(at, alarm));
-    }
-}
-
 impl Machine for Front {
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
--- /dev/null
+++ b/crates/links/src/due.rs
@@ -0,0 +1,50 @@
+//! One timer for each connection: when it has to have moved on.
+
+use crate::wheel::{TimerKey, Wheel};
+use slipreel_machine::ConnId;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The timers of connections of one kind.
+#[derive(Debug, Default)]
+pub struct Due(HashMap<ConnId, TimerKey>);
+
+impl Due {
+    /// Sets a connection's timer in place of the one that it had; none if nothing is due.
+    pub fn arm<T>(&mut self, wheel: &mut Wheel<T>, conn: ConnId, due: Option<Duration>, item: T) {
+        self.cancel(wheel, conn);
+        if let Some(at) = due {
+            self.0.insert(conn, wheel.set(at, item));
+        }
+    }
+
+    /// Takes a connection's timer back.
+    pub fn cancel<T>(&mut self, wheel: &mut Wheel<T>, conn: ConnId) {
+        if let Some(key) = self.0.remove(&conn) {
+            wheel.cancel(key);
+        }
+    }
+
+    /// A connection's timer has fired.
+    pub fn fired(&mut self, conn: ConnId) {
+        self.0.remove(&conn);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_has_one_timer_and_the_last_one_set_counts() {
+        let (mut wheel, mut due, ms) = (Wheel::default(), Due::default(), Duration::from_millis);
+        due.arm(&mut wheel, ConnId(1), Some(ms(5)), 'a');
+        due.arm(&mut wheel, ConnId(1), Some(ms(9)), 'b');
+        due.arm(&mut wheel, ConnId(2), Some(ms(7)), 'c');
+        due.cancel(&mut wheel, ConnId(2));
+        assert_eq!((wheel.pop(ms(8)), wheel.pop(ms(9))), (None, Some('b')));
+        due.fired(ConnId(1));
+        due.arm(&mut wheel, ConnId(1), None, 'd');
+        assert!(wheel.is_empty() && due.0.is_empty());
+    }
+}
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -9,7 +9,7 @@
 use crate::room::{self, Room};
 use crate::watch::{State as WatchState, Watch};
 use slipreel::{EngineId, Event, Outcome, RequestId, Router, TimerId};
-use slipreel_links::{Client, LetGo, Pool, State as ClientState, TimerKey, Trust, Wheel};
+use slipreel_links::{Client, Due, LetGo, Pool, State as ClientState, TimerKey, Trust, Wheel};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
 use slipreel_profile::Profile;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -75,11 +75,11 @@
     pub(crate) members: Members,
     pub(crate) watch: Watch,
     pub(crate) clients: HashMap<ConnId, Client>,
-    client_alarms: HashMap<ConnId, TimerKey>,
+    client_alarms: Due,
     /// Clients whose first request has not come yet.
     pub(crate) unheard: HashMap<ConnId, Duration>,
     pub(crate) links: HashMap<ConnId, Link>,
-    link_alarms: HashMap<ConnId, TimerKey>,
+    link_alarms: Due,
     pub(crate) pool: Pool,
     pub(crate) trust: Trust,
     pub(crate) calls: BTreeMap<RequestId, Call>,
@@ -115,10 +115,10 @@
             members: Members::new(&profile, now, wall),
             watch: Watch::new(discovery, now),
             clients: HashMap::new(),
-            client_alarms: HashMap::new(),
+            client_alarms: Due::default(),
             unheard: HashMap::new(),
             links: HashMap::new(),
-            link_alarms: HashMap::new(),
+            link_alarms: Due::default(),
             pool: Pool::default(),
             trust: Trust::default(),
             calls: BTreeMap::new(),
@@ -265,12 +265,12 @@
 
     pub(crate) fn arm_client(&mut self, conn: ConnId) {
         let due = self.clients.get(&conn).and_then(|c| self.client_due(c));
-        arm(&mut self.wheel, &mut self.client_alarms, conn, due, Alarm::Client(conn));
+        self.client_alarms.arm(&mut self.wheel, conn, due, Alarm::Client(conn));
     }
 
     pub(crate) fn arm_link(&mut self, conn: ConnId) {
         let due = self.links.get(&conn).and_then(|l| self.link_due(l));
-        arm(&mut self.wheel, &mut self.link_alarms, conn, due, Alarm::Link(conn));
+        self.link_alarms.arm(&mut self.wheel, conn, due, Alarm::Link(conn));
     }
 
     fn arm_watch(&mut self) {
@@ -284,14 +284,14 @@
         match alarm {
             Alarm::Module(timer) => self.tell(Event::Timer(timer)),
             Alarm::Client(conn) => {
-                self.client_alarms.remove(&conn);
+                self.client_alarms.fired(conn);
                 match self.clients.get(&conn).and_then(|c| self.client_due(c)) {
                     Some(at) if at <= self.now => self.client_late(conn, out),
                     _ => self.arm_client(conn),
                 }
             }
             Alarm::Link(conn) => {
-                self.link_alarms.remove(&conn);
+                self.link_alarms.fired(conn);
                 match self.links.get(&conn).and_then(|l| self.link_due(l)) {
                     Some(at) if at <= self.now => self.link_late(conn, out),
                     _ => self.arm_link(conn),
@@ -467,15 +467,11 @@
     pub(crate) fn forget_client(&mut self, conn: ConnId) {
         self.clients.remove(&conn);
         self.unheard.remove(&conn);
-        if let Some(key) = self.client_alarms.remove(&conn) {
-            self.wheel.cancel(key);
-        }
+        self.client_alarms.cancel(&mut self.wheel, conn);
     }
 
     pub(crate) fn forget_link(&mut self, conn: ConnId) -> Option<Link> {
-        if let Some(key) = self.link_alarms.remove(&conn) {
-            self.wheel.cancel(key);
-        }
+        self.link_alarms.cancel(&mut self.wheel, conn);
         let link = self.links.remove(&conn)?;
         self.pool.gone(link.engine, conn);
         Some(link)
@@ -486,18 +482,6 @@
     }
 }
 
-fn arm(
-    wheel: &mut Wheel<Alarm>, keys: &mut HashMap<ConnId, TimerKey>, conn: ConnId, due: Option<Duration>,
-    alarm: Alarm,
-) {
-    if let Some(key) = keys.remove(&conn) {
-        wheel.cancel(key);
-    }
-    if let Some(at) = due {
-        keys.insert(conn, wheel.set(at, alarm));
-    }
-}
-
 impl Machine for Node {
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
