--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -187,3 +187,65 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("LB_CONFIG"));
     let _ = std::fs::remove_dir_all(folder);
 }
+
+/// Sends a head that claims 60 MB and goes on sending as fast as it can; gives what came back and how long it took.
+fn sends_60_mb(addr: SocketAddr, chunked: bool) -> (String, Duration) {
+    let begun = Instant::now();
+    let mut stream = TcpStream::connect_timeout(&addr, ms(1_000)).expect("a connection");
+    let _ = stream.set_read_timeout(Some(ms(6_000)));
+    let _ = stream.set_write_timeout(Some(ms(6_000)));
+    let framing = if chunked { "Transfer-Encoding: chunked" } else { "Content-Length: 60000000" };
+    let head =
+        format!("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: big\r\n{framing}\r\n\r\n");
+    let mut sender = stream.try_clone().expect("a second handle");
+    let sending = std::thread::spawn(move || {
+        let piece = vec![b'a'; 1 << 16];
+        let mut sent = sender.write_all(head.as_bytes());
+        for _ in 0..916 {
+            if chunked {
+                sent = sent.and_then(|()| sender.write_all(b"10000\r\n"));
+            }
+            sent = sent.and_then(|()| sender.write_all(&piece));
+            if chunked {
+                sent = sent.and_then(|()| sender.write_all(b"\r\n"));
+            }
+            if sent.is_err() {
+                return;
+            }
+        }
+    });
+    let mut answer = Vec::new();
+    let mut buf = [0; 4096];
+    while let Ok(n) = stream.read(&mut buf) {
+        if n == 0 {
+            break;
+        }
+        answer.extend_from_slice(&buf[..n]);
+    }
+    let took = begun.elapsed();
+    sending.join().expect("the sending thread");
+    (String::from_utf8_lossy(&answer).into_owned(), took)
+}
+
+#[test]
+fn an_error_reaches_a_client_that_goes_on_sending_60_mb() {
+    let (listen, folder) = (free_port(), folder("big"));
+    let file = folder.join("config.json");
+    let known = r#"{"index":1,"snapshot":true,"endpoints":[]}"#;
+    std::fs::write(&file, config(listen, free_port(), known)).expect("a file");
+    let mut process = start(&file);
+    let until = Instant::now() + ms(10_000);
+    while !is_ready(listen) {
+        assert!(Instant::now() < until, "not ready in time");
+        std::thread::sleep(ms(20));
+    }
+    let all: Vec<_> = (0..6).map(|n| std::thread::spawn(move || sends_60_mb(listen, n % 2 == 1))).collect();
+    for client in all {
+        let (answer, took) = client.join().expect("a client's thread");
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        assert!(took < ms(6_000), "{took:?}");
+    }
+    assert!(is_ready(listen), "it serves on");
+    assert_eq!(process.ends_within(ms(1)), None);
+    let _ = std::fs::remove_dir_all(folder);
+}
