An engine that errs is passed over for a second where others are usable

Ruled out: spoilt streams, resets, load (log of failed requests, outcomes by engine). At fault: rules.rs on_ended: an Error moved nothing, so that the engine with the least under way was chosen again and again. Change: an Error before the first token makes the engine rest for all classes for a second, as a full one does for one class. Guards against any engine that fails fast; harm: a chance error costs a moment without the engine.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -721,14 +721,16 @@
         if let Some(server) = self.servers.get_mut(&engine) {
             server.tokens = (server.tokens - tokens).max(0.0);
             server.out -= 1.0;
+            server.rests.resize(self.settings.classes.len(), Duration::ZERO);
             match outcome {
                 Outcome::Full { no_state: true } => server.heard = now,
+                // One that errs at once seems idle and draws all. Harm: chance errors, a moment without it.
+                Outcome::Error if begun.is_none() => server.rests.fill(now + EJECT_BASE),
                 Outcome::Full { .. } => {
                     server.heard = now;
                     // What is turned away is not borne: jammed peers would seem to bear what no cold one can.
                     let means = &mut self.means[server.role as usize];
                     means.rate = (means.rate - prompt / RATE_SPAN.as_secs_f64()).max(0.0);
-                    server.rests.resize(self.settings.classes.len(), Duration::ZERO);
                     server.rests[class] = now + if roomy { THROTTLE_REST } else { FULL_REST };
                 }
                 _ => {}
