--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,8 +4,10 @@
 
 mod demo;
 mod engine;
+mod fleet;
 mod load;
 mod logs;
+mod member;
 mod model;
 mod node;
 mod roles;
@@ -49,6 +51,8 @@
     Model(model::Args),
     /// See, plan, order and freeze changes of engines between reading and writing.
     Roles(roles::Args),
+    /// See who is in the fleet of a running router, follow changes, say goodbye.
+    Fleet(fleet::Args),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -79,6 +83,9 @@
 
 fn check(file: &Path) -> Outcome {
     let daemon = read_settings(file)?;
+    if let Some(fleet) = &daemon.fleet {
+        fleet.peers().map_err(|faults| Failure::Input(lines(&faults)))?;
+    }
     let site = &daemon.site;
     println!(
         "{}: {} classes, {} models, {} tenants, {} engines, {} threads",
@@ -102,6 +109,7 @@
         Command::Demo(args) => demo::run(&args),
         Command::Model(args) => model::run(&args),
         Command::Roles(args) => roles::run(&args),
+        Command::Fleet(args) => fleet::run(&args),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "slipreel", &mut std::io::stdout());
             Ok(())
--- /dev/null
+++ b/crates/cli/src/member.rs
@@ -0,0 +1,196 @@
+//! `serve` as a member of a fleet: a thread of its own keeps the view, this side keeps the folder and passes on what follows.
+
+use crate::{lines, Failure};
+use slipreel_fleet::{Board, Fleet, Kept, Peers, Settings};
+use slipreel_front::{Front, Sharing};
+use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
+use slipreel_settings::{Daemon, FleetSite};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Least time between two writes of the folder, whatever changes.
+const WRITE: Duration = Duration::from_secs(1);
+
+/// The member of this process.
+pub(crate) struct Member {
+    board: Arc<Board>,
+    handle: Handle<Fleet>,
+    thread: JoinHandle<()>,
+    site: FleetSite,
+    peers: Peers,
+    /// The book as it was last read, to see whether it has changed.
+    book: Option<String>,
+    kept: Arc<Kept>,
+    written: Instant,
+    failing: bool,
+    routers: u32,
+}
+
+fn file_of(folder: &Path) -> PathBuf {
+    folder.join("fleet")
+}
+
+/// What the last life left; nothing if there is none, or if it can't be read, which is said.
+fn read_kept(folder: Option<&Path>) -> Kept {
+    let Some(file) = folder.map(file_of) else { return Kept::default() };
+    let text = match std::fs::read_to_string(&file) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Kept::default(),
+        Err(e) => {
+            tracing::warn!(file = %file.display(), why = %e, "what the last life left can't be read; starts without it");
+            return Kept::default();
+        }
+    };
+    Kept::decode(&text).unwrap_or_else(|why| {
+        tracing::warn!(file = %file.display(), %why, "what the last life left is not taken; starts without it");
+        Kept::default()
+    })
+}
+
+/// Writes the file so that it is never half there: another file, synced, takes its place, and the folder is synced.
+fn write_kept(folder: &Path, kept: &Kept) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let (file, new) = (file_of(folder), folder.join("fleet.new"));
+    let mut out = std::fs::File::create(&new)?;
+    out.write_all(kept.encode().as_bytes())?;
+    out.sync_all()?;
+    drop(out);
+    std::fs::rename(&new, &file)?;
+    std::fs::File::open(folder)?.sync_all()
+}
+
+fn peers(site: &FleetSite) -> Result<Peers, Failure> {
+    site.peers().map_err(|faults| Failure::Input(lines(&faults)))
+}
+
+fn book_text(site: &FleetSite) -> Option<String> {
+    site.book.as_ref().and_then(|file| std::fs::read_to_string(file).ok())
+}
+
+impl Member {
+    /// Starts it, where the settings have a section `[fleet]`. What outlives the process is written before anybody hears of it.
+    pub(crate) fn start(daemon: &Daemon, clock: Clock) -> Result<Option<Member>, Failure> {
+        let Some(site) = daemon.fleet.clone() else { return Ok(None) };
+        let run = |e: std::io::Error| Failure::Run(e.to_string());
+        let peers = peers(&site)?;
+        let settings = Settings {
+            fleet: site.fleet.clone(),
+            name: daemon.site.name.clone(),
+            address: site.listen,
+            routers: daemon.threads as u32,
+            floor: daemon.site.settings.routers,
+            datagram: site.datagram,
+        };
+        let board = Arc::new(Board::default());
+        let before = read_kept(site.folder.as_deref());
+        let machine =
+            Fleet::new(settings, peers.clone(), &before, rand::random(), clock.now(), board.clone());
+        let mut looped = Loop::new(clock).map_err(run)?;
+        looped.on_log(|_, line| tracing::info!("{line}"));
+        let node = looped.add(machine);
+        let listen = |e: slipreel_net::NetError| Failure::Run(e.to_string());
+        looped.listen_alone(node, site.listen).map_err(listen)?;
+        looped.listen_datagrams(node, site.listen).map_err(listen)?;
+        let handle = looped.handle();
+        let mut member = Member {
+            kept: board.kept(),
+            book: book_text(&site),
+            site,
+            peers,
+            written: Instant::now(),
+            failing: false,
+            routers: daemon.site.settings.routers,
+            board,
+            handle,
+            thread: std::thread::spawn(|| {}),
+        };
+        member.write();
+        let thread = std::thread::Builder::new().name("fleet".into()).spawn(move || {
+            if let Err(why) = looped.run() {
+                tracing::error!(%why, "the event loop of the fleet failed");
+            }
+        });
+        member.thread = thread.map_err(run)?;
+        tracing::info!(fleet = member.site.fleet, listen = %member.site.listen, "a member of a fleet");
+        Ok(Some(member))
+    }
+
+    /// Hands the view to the routers of this process.
+    pub(crate) fn introduce(&self, handles: &[Handle<Front>]) {
+        let board: Arc<Arc<Board>> = Arc::new(self.board.clone());
+        handles.iter().for_each(|h| {
+            h.tell(Command::News(NodeId(0), board.clone()));
+            h.tell(Command::News(NodeId(0), Arc::new(Sharing(self.board.view().routers))));
+        });
+    }
+
+    /// Looks at what has changed: the view, what is to be kept, the book.
+    pub(crate) fn look(&mut self, handles: &[Handle<Front>]) {
+        let routers = self.board.view().routers;
+        if routers != std::mem::replace(&mut self.routers, routers) {
+            tracing::info!(routers, "the fleet counts another number of routers");
+            handles.iter().for_each(|h| {
+                h.tell(Command::News(NodeId(0), Arc::new(Sharing(routers))));
+            });
+        }
+        let kept = self.board.kept();
+        if kept != self.kept {
+            // A new incarnation is written at once, as it is in use already; contacts may wait.
+            if kept.incarnation != self.kept.incarnation || self.written.elapsed() >= WRITE {
+                self.kept = kept;
+                self.write();
+            }
+        }
+        if self.book != book_text(&self.site) {
+            self.book = book_text(&self.site);
+            self.reload(None);
+        }
+    }
+
+    fn write(&mut self) {
+        let Some(folder) = &self.site.folder else { return };
+        self.written = Instant::now();
+        let result = write_kept(folder, &self.kept);
+        if let (Err(why), false) = (&result, self.failing) {
+            tracing::warn!(folder = %folder.display(), %why,
+                "the folder can't be written: after a restart this router waits until its last life is known to be over");
+        }
+        self.failing = result.is_err();
+    }
+
+    /// Seeds and book are read again; `None`: the book alone. What can't be read changes nothing.
+    pub(crate) fn reload(&mut self, site: Option<&FleetSite>) {
+        let mut new = self.site.clone();
+        if let Some(site) = site {
+            let fixed = |s: &FleetSite| (s.fleet.clone(), s.listen, s.folder.clone(), s.datagram);
+            if fixed(site) != fixed(&self.site) {
+                tracing::warn!("fleet, listen, folder and datagram of [fleet] change with a restart only");
+            }
+            new.seeds.clone_from(&site.seeds);
+            new.book.clone_from(&site.book);
+        }
+        match new.peers() {
+            Ok(peers) => {
+                self.site = new;
+                if peers != self.peers {
+                    self.peers = peers.clone();
+                    self.handle.tell(Command::News(NodeId(0), Arc::new(Arc::new(peers))));
+                }
+            }
+            Err(faults) => tracing::warn!(why = lines(&faults), "the book can't be read; it stays as it was"),
+        }
+    }
+
+    /// Says goodbye.
+    pub(crate) fn stop(&self) {
+        self.handle.tell(Command::Stop(NodeId(0)));
+    }
+
+    /// Waits until the goodbye is said.
+    pub(crate) fn join(self) {
+        let _ = self.thread.join();
+    }
+}
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,6 +1,7 @@
 //! `serve`: the daemon. One thread a front, each a router of its own on the same port; this thread watches signals
 //! and the list of engines and passes on what changed.
 
+use crate::member::Member;
 use crate::signals::Signals;
 use crate::{logs, read_settings, Failure, Outcome};
 use slipreel_front::site::EngineSite;
@@ -53,7 +54,12 @@
             engines.map_err(|e| Failure::Input(format!("{}: {e}", watched.file.display())))?;
         watched.last = text;
     }
-    let (handles, threads) = start(&daemon)?;
+    let clock = Clock::start();
+    let mut member = Member::start(&daemon, clock)?;
+    let (handles, threads) = start(&daemon, clock)?;
+    if let Some(member) = &member {
+        member.introduce(&handles);
+    }
     tracing::info!(listen = %daemon.listen, threads = daemon.threads, engines = daemon.site.engines.len(), "serving");
     while !signals.stopped() && threads.iter().any(|t| !t.is_finished()) {
         std::thread::sleep(LOOK);
@@ -65,10 +71,15 @@
                 h.tell(Command::News(NodeId(0), list.clone()));
             });
         }
+        if let Some(member) = &mut member {
+            member.look(&handles);
+        }
         if signals.take_reload() {
-            reload(config, &mut daemon, &handles);
+            reload(config, &mut daemon, &handles, member.as_mut());
         }
     }
+    // The others hear of it before this router takes no more.
+    member.iter().for_each(Member::stop);
     tracing::info!("stopping: requests under way end first");
     handles.iter().for_each(|h| {
         h.tell(Command::Stop(NodeId(0)));
@@ -84,14 +95,16 @@
             "stopped"
         );
     }
+    if let Some(member) = member {
+        member.join();
+    }
     Ok(())
 }
 
 type Threads = (Vec<Handle<Front>>, Vec<JoinHandle<slipreel_front::Tally>>);
 
-fn start(daemon: &Daemon) -> Result<Threads, Failure> {
+fn start(daemon: &Daemon, clock: Clock) -> Result<Threads, Failure> {
     let run = |e: std::io::Error| Failure::Run(e.to_string());
-    let clock = Clock::start();
     let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let (mut handles, mut threads) = (Vec::new(), Vec::new());
     for n in 0..daemon.threads {
@@ -120,7 +133,7 @@
 }
 
 /// Reads the settings again. A bad file changes nothing; what needs a restart is named.
-fn reload(config: &Path, daemon: &mut Daemon, handles: &[Handle<Front>]) {
+fn reload(config: &Path, daemon: &mut Daemon, handles: &[Handle<Front>], member: Option<&mut Member>) {
     let mut new = match read_settings(config) {
         Ok(new) => new,
         Err(Failure::Input(why) | Failure::Run(why)) => {
@@ -135,6 +148,11 @@
     if new.engines_file.is_some() {
         new.site.engines.clone_from(&daemon.site.engines);
     }
+    match (member, &new.fleet) {
+        (Some(member), Some(site)) => member.reload(Some(site)),
+        (None, None) => {}
+        _ => tracing::warn!("a section [fleet] comes and goes with a restart only"),
+    }
     daemon.site = new.site;
     for (n, handle) in handles.iter().enumerate() {
         let mut site = daemon.site.clone();
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,713 @@
+//! A member as a machine: rounds, what it answers, how it joins and leaves, and what it shows.
+
+use crate::count::{self, Own};
+use crate::rival::{self, Rival, Verdict};
+use crate::sync::{Came, Exchanges};
+use crate::table::{beat_of, size, Learnt, State, Table};
+use crate::view::{Board, MemberView, Standing, View};
+use crate::{pace, Kept};
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel_machine::{Door, Input, Machine, Output};
+use slipreel_protocol::fleet::{frame, Bad, Beat, Flags, Life, Message, BEAT};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a member is handed at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The fleet's name.
+    pub fleet: String,
+    /// The member's.
+    pub name: String,
+    /// Where it can be reached, by datagrams and by TCP.
+    pub address: SocketAddr,
+    /// How many routers this process runs.
+    pub routers: u32,
+    /// Routers to reckon with until the fleet has been seen.
+    pub floor: u32,
+    /// The longest datagram that it sends, bytes.
+    pub datagram: usize,
+}
+
+/// How others are found; handed in anew as [`Input::News`] of an `Arc<Peers>` when it changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Members to ask at a start, and now and then while they are not in the view.
+    pub seeds: Vec<SocketAddr>,
+    /// How this member reaches others by name; those not in it are reached where they say.
+    pub book: BTreeMap<String, SocketAddr>,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes, without those of the network's own heads.
+    pub sent_bytes: u64,
+    /// Messages taken.
+    pub taken: u64,
+    /// Messages that can't be read.
+    pub noise: u64,
+    /// Messages of another fleet.
+    pub foreign: u64,
+    /// Messages of another version.
+    pub version: u64,
+    /// Exchanges over TCP.
+    pub exchanges: u64,
+    /// Changes of the view.
+    pub changes: u64,
+    /// Lives that there was no room for.
+    pub full: u64,
+}
+
+/// Log lines of one round; what is beyond is counted.
+const LINES: usize = 24;
+/// Lives asked for in one message.
+const ASKS: usize = 32;
+const DOOR: Door = Door(0);
+
+/// A member of a fleet.
+pub struct Fleet {
+    settings: Settings,
+    peers: Peers,
+    contacts: Vec<(String, SocketAddr)>,
+    me: Life,
+    round: u32,
+    standing: Standing,
+    table: Table,
+    rival: Option<Rival>,
+    exchanges: Exchanges,
+    rng: Xoshiro256PlusPlus,
+    board: Arc<Board>,
+    tally: Tally,
+    digest: u64,
+    started: Duration,
+    /// When the last input came: a gap means that this process did not run.
+    seen: Duration,
+    next_round: Duration,
+    changed: Duration,
+    disagreed: Duration,
+    asked: Option<Duration>,
+    logged: Option<Duration>,
+    unlogged: u64,
+    goodbyes: Option<u32>,
+    stopping: bool,
+    stopped: bool,
+    shown: Option<(bool, Standing, u64, u32, u64)>,
+}
+
+impl Fleet {
+    /// A member at its start. `kept` is what its last life left, `seed` has to be a new one at each start. What should outlive
+    /// this life stands on the board from the beginning: it is to be written before the machine runs.
+    pub fn new(
+        settings: Settings, peers: Peers, kept: &Kept, seed: u64, now: Duration, board: Arc<Board>,
+    ) -> Self {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let me = Life {
+            name: settings.name.clone(),
+            incarnation: kept.incarnation + 1,
+            nonce: rng.next_u64(),
+            address: settings.address,
+            routers: settings.routers,
+            left: false,
+        };
+        let floor = settings.floor.max(kept.routers);
+        let settings = Settings { floor, ..settings };
+        let mut fleet = Fleet {
+            contacts: kept.contacts.iter().filter(|(name, _)| *name != me.name).cloned().collect(),
+            settings,
+            peers,
+            me,
+            round: 0,
+            standing: Standing::Joining,
+            table: Table::default(),
+            rival: None,
+            exchanges: Exchanges::default(),
+            rng,
+            board,
+            tally: Tally::default(),
+            digest: 0,
+            started: now,
+            seen: now,
+            next_round: now,
+            changed: now,
+            disagreed: now,
+            asked: None,
+            logged: None,
+            unlogged: 0,
+            goodbyes: None,
+            stopping: false,
+            stopped: false,
+            shown: None,
+        };
+        fleet.digest = fleet.table.digest(&fleet.me);
+        fleet.show(now);
+        fleet.keep(now);
+        fleet
+    }
+
+    /// What it knows of the others.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Its view as a hash; the same on all that believe the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// What passed on the wire.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Its incarnation, which grows if it has to take its name back.
+    pub fn incarnation(&self) -> u64 {
+        self.me.incarnation
+    }
+
+    /// Routers to reckon with now.
+    pub fn routers(&self, now: Duration) -> u32 {
+        count::believe(now, self.own(), &self.table)
+    }
+
+    /// Whether nothing has changed, and nobody told of another view, for [`pace::SETTLED`].
+    pub fn settled(&self, now: Duration) -> bool {
+        self.standing == Standing::Ready && now >= self.changed.max(self.disagreed) + pace::SETTLED
+    }
+
+    fn own(&self) -> Own {
+        Own { routers: self.settings.routers, floor: self.settings.floor, since: self.started }
+    }
+
+    fn lot(rng: &mut Xoshiro256PlusPlus, below: usize) -> usize {
+        (rng.next_u64() % below.max(1) as u64) as usize
+    }
+
+    fn reach(&self, life: &Life) -> SocketAddr {
+        self.peers.book.get(&life.name).copied().unwrap_or(life.address)
+    }
+
+    // ---- Sending -------------------------------------------------------------------------------
+
+    fn message(&self, flags: Flags, lives: Vec<Life>, beats: Vec<Beat>) -> Message {
+        Message {
+            fleet: self.settings.fleet.clone(),
+            from: self.me.clone(),
+            round: self.round,
+            digest: self.digest,
+            flags,
+            lives,
+            beats,
+            asks: Vec::new(),
+        }
+    }
+
+    /// Bytes that lists may take beside the head.
+    fn room(&self) -> usize {
+        let head = 9 + 1 + self.settings.fleet.len() + size(&self.me) + 5 + 8 + 1 + 3 * 2;
+        self.settings.datagram.saturating_sub(head)
+    }
+
+    fn send(&mut self, to: SocketAddr, message: &Message, out: &mut Vec<Output>) {
+        let bytes = message.encode();
+        self.tally.sent += 1;
+        self.tally.sent_bytes += bytes.len() as u64;
+        out.push(Output::Datagram(DOOR, to, bytes));
+    }
+
+    fn tell(&mut self, now: Duration, to: SocketAddr, flags: Flags, out: &mut Vec<Output>) {
+        let room = self.room();
+        let rng = &mut self.rng;
+        let (lives, beats) = self.table.tell(now, room, |below| Self::lot(rng, below));
+        let message = self.message(flags, lives, beats);
+        self.send(to, &message, out);
+    }
+
+    /// All that is known, or as much as fits and word that there is more.
+    fn tell_whole(&mut self, now: Duration, to: SocketAddr, out: &mut Vec<Output>) {
+        let (lives, beats) = self.table.tell_all(now);
+        let need: usize = lives.iter().map(|l| size(l) + BEAT).sum();
+        if need > self.room() {
+            return self.tell(now, to, Flags { more: true, ..Flags::default() }, out);
+        }
+        let message = self.message(Flags { whole: true, ..Flags::default() }, lives, beats);
+        self.send(to, &message, out);
+    }
+
+    fn whole_frame(&self, now: Duration) -> Vec<u8> {
+        let (lives, beats) = self.table.tell_all(now);
+        frame(&self.message(Flags { whole: true, ..Flags::default() }, lives, beats))
+    }
+
+    /// Addresses of those who are not in the view and may be there: seeds, contacts, whom the book names, who is gone.
+    fn absent(&self) -> Vec<SocketAddr> {
+        let here = |name: &str| {
+            name == self.me.name
+                || self.table.get(name).is_some_and(|e| e.state != State::Gone || e.life.left)
+        };
+        let gone = self.table.iter().filter(|e| e.state == State::Gone && !e.life.left);
+        let mut all: Vec<SocketAddr> = gone.map(|e| self.reach(&e.life)).collect();
+        all.extend(self.peers.book.iter().filter(|(name, _)| !here(name)).map(|(_, to)| *to));
+        let kept = self.contacts.iter().filter(|(name, _)| !here(name));
+        all.extend(kept.map(|(name, to)| self.peers.book.get(name).copied().unwrap_or(*to)));
+        let met = |to: &&SocketAddr| {
+            self.table
+                .iter()
+                .any(|e| e.state != State::Gone && (e.life.address == **to || self.reach(&e.life) == **to))
+        };
+        all.extend(self.peers.seeds.iter().filter(|to| **to != self.me.address).filter(|to| !met(to)));
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    fn draw(&mut self, from: &mut Vec<SocketAddr>) -> Option<SocketAddr> {
+        (!from.is_empty()).then(|| from.swap_remove(Self::lot(&mut self.rng, from.len())))
+    }
+
+    fn go_round(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.round += 1;
+        let mut present: Vec<SocketAddr> =
+            self.table.iter().filter(|e| e.state != State::Gone).map(|e| self.reach(&e.life)).collect();
+        let joining = matches!(self.standing, Standing::Joining | Standing::Challenged);
+        let flags = Flags { wants_all: joining, ..Flags::default() };
+        for _ in 0..pace::FANOUT {
+            let Some(to) = self.draw(&mut present) else { break };
+            self.tell(now, to, flags, out);
+        }
+        if self.round % pace::REACH_OUT == 1 || joining {
+            let mut absent = self.absent();
+            let most = if joining { pace::FANOUT } else { 1 };
+            for _ in 0..most {
+                let Some(to) = self.draw(&mut absent) else { break };
+                self.tell(now, to, Flags { wants_all: true, ..Flags::default() }, out);
+            }
+        }
+    }
+
+    // ---- Taking --------------------------------------------------------------------------------
+
+    fn refuse(&mut self, now: Duration, what: &str, out: &mut Vec<Output>) {
+        self.unlogged += 1;
+        if self.logged.is_none_or(|at| now >= at + pace::LOG) {
+            let times = std::mem::take(&mut self.unlogged);
+            self.logged = Some(now);
+            out.push(Output::Log(format!("fleet: not taken ({times} since the last line): {what}")));
+        }
+    }
+
+    fn read(&mut self, now: Duration, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        match Message::decode(bytes) {
+            Ok(message) => self.take(now, &message, true, out),
+            Err(bad) => self.bad(now, &bad, from, out),
+        }
+    }
+
+    fn bad(&mut self, now: Duration, bad: &Bad, from: SocketAddr, out: &mut Vec<Output>) {
+        match bad {
+            Bad::Version(_) => self.tally.version += 1,
+            _ => self.tally.noise += 1,
+        }
+        self.refuse(now, &format!("from {from}: {bad}"), out);
+    }
+
+    /// Takes a message. `answers`: by a datagram, if it asks for something.
+    fn take(&mut self, now: Duration, message: &Message, answers: bool, out: &mut Vec<Output>) {
+        if message.fleet != self.settings.fleet {
+            self.tally.foreign += 1;
+            let (name, fleet, own) = (&message.from.name, &message.fleet, &self.settings.fleet);
+            let what = format!("{name} at {} is of fleet {fleet:?}: expected {own:?}", message.from.address);
+            return self.refuse(now, &what, out);
+        }
+        if message.from.nonce == self.me.nonce && message.from.name == self.me.name {
+            return; // One of its own, by a seed that leads back here.
+        }
+        self.tally.taken += 1;
+        let to = self.reach(&message.from);
+        if message.from.name == self.me.name {
+            self.rivalled(now, &message.from, Duration::ZERO, out);
+            if self.standing == Standing::Ready {
+                let me = Beat { life: self.me.id(), round: self.round, age_ms: 0 };
+                let word = self.message(Flags::default(), vec![self.me.clone()], vec![me]);
+                self.send(message.from.address, &word, out);
+            }
+            return;
+        }
+        let by = &message.from.name;
+        let age = |ms: u32| Duration::from_millis(u64::from(ms));
+        let learnt = self.table.learn(now, &message.from, message.round, Duration::ZERO, by);
+        if learnt == Learnt::Older {
+            // It does not know that another process holds its name: told where it says that it is, as the book leads to the holder.
+            let Some(entry) = self.table.get(by) else { return };
+            let beats = vec![beat_of(now, entry)];
+            let word = self.message(Flags::default(), vec![entry.life.clone()], beats);
+            return self.send(message.from.address, &word, out);
+        }
+        self.tally.full += u64::from(learnt == Learnt::Full);
+        let rounds: BTreeMap<u64, &Beat> = message.beats.iter().map(|b| (b.life, b)).collect();
+        for life in &message.lives {
+            let beat = rounds.get(&life.id());
+            if life.name == self.me.name {
+                self.told_of_own_name(now, life, beat.map(|b| age(b.age_ms)), out);
+            } else if let Some(beat) = beat {
+                let learnt = self.table.learn(now, life, beat.round, age(beat.age_ms), by);
+                self.tally.full += u64::from(learnt == Learnt::Full);
+            }
+        }
+        let mut asks = Vec::new();
+        for beat in &message.beats {
+            if self.table.name_of(beat.life).is_some() {
+                self.table.beat(now, beat.life, beat.round, age(beat.age_ms), by);
+            } else if let Some(rival) = self.rival.as_ref().filter(|r| r.life.id() == beat.life) {
+                let life = rival.life.clone();
+                self.told_of_own_name(now, &life, Some(age(beat.age_ms)), out);
+            } else if asks.len() < ASKS && beat.life != self.me.id() && !self.table.is_buried(beat.life) {
+                asks.push(beat.life);
+            }
+        }
+        self.settle_changes(now, out);
+        if message.digest != self.digest {
+            self.disagreed = now;
+        }
+        if message.flags.whole && self.standing == Standing::Joining {
+            self.standing = Standing::Ready;
+        }
+        if message.flags.more {
+            self.exchanges.ask(now, to, out);
+        }
+        if answers {
+            self.answer(now, message, to, asks, out);
+        }
+    }
+
+    fn answer(
+        &mut self, now: Duration, message: &Message, to: SocketAddr, asks: Vec<u64>, out: &mut Vec<Output>,
+    ) {
+        if message.flags.wants_all {
+            self.tell_whole(now, to, out);
+        }
+        if !message.asks.is_empty() {
+            let (lives, beats) = self.table.tell_asked(now, &message.asks, self.room());
+            if !lives.is_empty() {
+                let word = self.message(Flags::default(), lives, beats);
+                self.send(to, &word, out);
+            }
+        }
+        // Views that stay apart although nothing changes: somebody has missed what nobody tells any more.
+        let apart = message.digest != self.digest && now >= self.changed + pace::SETTLED;
+        let wants_all = apart
+            && self.standing == Standing::Ready
+            && self.asked.is_none_or(|at| now >= at + pace::ASK_AGAIN);
+        if wants_all {
+            self.asked = Some(now);
+        }
+        if wants_all || !asks.is_empty() {
+            let mut word = self.message(Flags { wants_all, ..Flags::default() }, Vec::new(), Vec::new());
+            word.asks = asks;
+            self.send(to, &word, out);
+        }
+    }
+
+    // ---- One's own name --------------------------------------------------------------------------
+
+    fn told_of_own_name(&mut self, now: Duration, life: &Life, age: Option<Duration>, out: &mut Vec<Output>) {
+        if life.nonce == self.me.nonce && life.incarnation <= self.me.incarnation {
+            let declared = life.left && life.incarnation == self.me.incarnation && self.goodbyes.is_none();
+            if declared {
+                // Somebody has declared this life gone, and it is not: it goes on as the next one.
+                self.next_life(now, life.incarnation);
+                out.push(Output::Log(format!(
+                    "fleet: was declared gone and is not; goes on as incarnation {}",
+                    self.me.incarnation
+                )));
+            }
+            return;
+        }
+        match (age, life.left) {
+            (Some(age), _) => self.rivalled(now, life, age, out),
+            (None, true) => self.rivalled(now, life, pace::FORGET, out),
+            (None, false) => {}
+        }
+    }
+
+    fn next_life(&mut self, now: Duration, after: u64) {
+        self.me.incarnation = after.saturating_add(1);
+        self.changed = now;
+        self.digest = self.table.digest(&self.me);
+        self.keep(now);
+    }
+
+    fn rivalled(&mut self, now: Duration, life: &Life, age: Duration, out: &mut Vec<Output>) {
+        if matches!(self.standing, Standing::Yielded | Standing::Left) {
+            return;
+        }
+        match rival::weigh(now, self.started, &self.me, &mut self.rival, life, age) {
+            Verdict::Holds => {
+                let (at, n) = (life.address, life.incarnation);
+                let what = format!(
+                    "another process of this name, incarnation {n} at {at}, is older and is to yield"
+                );
+                self.refuse(now, &what, out);
+            }
+            Verdict::Challenged if self.standing != Standing::Challenged => {
+                self.standing = Standing::Challenged;
+                out.push(Output::Log(format!(
+                    "fleet: another life of this name is known, incarnation {} at {}; not ready until it is \
+                     known whether that runs",
+                    life.incarnation, life.address
+                )));
+            }
+            Verdict::Challenged => {}
+            Verdict::Yields => {
+                self.standing = Standing::Yielded;
+                out.push(Output::Log(format!(
+                    "fleet: another process of this name holds it, incarnation {} at {}; this one, incarnation {}, \
+                     yields and is not ready any more: end one of the two",
+                    life.incarnation, life.address, self.me.incarnation
+                )));
+            }
+        }
+        self.show(now);
+    }
+
+    /// A rival that has been silent for long was a predecessor.
+    fn look_at_rival(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let members = self.table.present() + 1;
+        let over = self.rival.take_if(|r| rival::is_over(now, r, members));
+        if let Some(rival) = over.filter(|_| self.standing == Standing::Challenged) {
+            self.next_life(now, rival.life.incarnation);
+            self.standing = Standing::Ready;
+            out.push(Output::Log(format!(
+                "fleet: incarnation {} of this name is silent, so it was this router's last life; goes on as incarnation {}",
+                rival.life.incarnation, self.me.incarnation
+            )));
+        }
+    }
+
+    // ---- Rounds --------------------------------------------------------------------------------
+
+    /// Notes that this process did not run for a while: silence of others meanwhile says nothing.
+    fn mind_the_gap(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let gap = now.saturating_sub(self.seen);
+        self.seen = now;
+        if gap >= pace::ASLEEP {
+            self.table.slept(gap);
+            self.changed = now;
+            out.push(Output::Log(format!("fleet: did not run for {} ms", gap.as_millis())));
+        }
+    }
+
+    fn wake(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.exchanges.late(now, out);
+        if now < self.next_round || self.stopped {
+            return;
+        }
+        let part = 900 + Self::lot(&mut self.rng, 201) as u32;
+        self.next_round = now + pace::ROUND * part / 1000;
+        if self.board.leaves() {
+            self.leave(out);
+        }
+        for name in self.board.forgets() {
+            let known = self.table.forget(&name, &self.me.name);
+            let what = if known { "declared gone by an operator" } else { "not known, so not declared gone" };
+            out.push(Output::Log(format!("fleet: member={name} {what}")));
+        }
+        if self.standing == Standing::Yielded {
+            if self.stopping {
+                self.stopped = true;
+                out.push(Output::Stopped);
+            }
+            return self.show(now);
+        }
+        let holds = count::holds(self.own(), &self.table);
+        self.table.look(now, |_| holds);
+        self.look_at_rival(now, out);
+        let nobody = self.absent().is_empty() && self.table.is_empty();
+        if self.standing == Standing::Joining && (nobody || now >= self.started + pace::JOIN) {
+            self.standing = Standing::Ready;
+            if !nobody {
+                out.push(Output::Log(
+                    "fleet: no seed and no contact answers; goes on alone and keeps asking".into(),
+                ));
+            }
+        }
+        self.settle_changes(now, out);
+        if self.goodbyes == Some(0) {
+            if self.stopping {
+                self.stopped = true;
+                out.push(Output::Stopped);
+            }
+            return self.show(now);
+        }
+        self.go_round(now, out);
+        if let Some(left) = &mut self.goodbyes {
+            *left -= 1;
+        }
+        self.show(now);
+    }
+
+    /// Says goodbye: to all at once, as far as a few datagrams go, then through the next rounds.
+    fn leave(&mut self, out: &mut Vec<Output>) {
+        if self.goodbyes.is_some() || self.standing == Standing::Yielded {
+            return;
+        }
+        self.me.left = true;
+        self.standing = Standing::Left;
+        self.goodbyes = Some(pace::GOODBYES);
+        let present = self.table.iter().filter(|e| e.state != State::Gone);
+        let to: Vec<SocketAddr> = present.map(|e| self.reach(&e.life)).take(GOODBYES_AT_ONCE).collect();
+        let word = self.message(Flags::default(), Vec::new(), Vec::new());
+        to.into_iter().for_each(|to| self.send(to, &word, out));
+        out.push(Output::Log("fleet: said goodbye".into()));
+    }
+
+    // ---- Showing -------------------------------------------------------------------------------
+
+    /// Logs what has changed in the table, and works out what follows.
+    fn settle_changes(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let changes = self.table.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        self.tally.changes += changes.len() as u64;
+        for change in changes.iter().take(LINES) {
+            let from = change.from.map_or_else(|| "unknown".to_owned(), |s| s.to_string());
+            out.push(Output::Log(format!(
+                "fleet: member={} incarnation={} from={from} to={} why=\"{}\"",
+                change.name, change.incarnation, change.to, change.why
+            )));
+        }
+        if changes.len() > LINES {
+            out.push(Output::Log(format!("fleet: and {} changes more", changes.len() - LINES)));
+        }
+        let digest = self.table.digest(&self.me);
+        if digest != self.digest {
+            (self.digest, self.changed) = (digest, now);
+            self.keep(now);
+        }
+    }
+
+    /// Puts on the board what should outlive this process.
+    fn keep(&self, now: Duration) {
+        let present = self.table.iter().filter(|e| e.state != State::Gone);
+        let mut contacts: Vec<(String, SocketAddr)> =
+            present.map(|e| (e.life.name.clone(), e.life.address)).take(crate::kept::CONTACTS).collect();
+        // Who is alone has nobody new to remember, and may be alone because of a cut.
+        for old in &self.contacts {
+            if contacts.len() < crate::kept::CONTACTS && contacts.iter().all(|(name, _)| *name != old.0) {
+                contacts.push(old.clone());
+            }
+        }
+        contacts.sort();
+        let routers = count::believe(now, self.own(), &self.table);
+        self.board.keep(Kept { incarnation: self.me.incarnation, routers, contacts });
+    }
+
+    fn show(&mut self, now: Duration) {
+        let routers = self.routers(now);
+        let state = (self.settled(now), self.standing, self.digest, routers, self.tally.changes);
+        // Counters alone are shown once in five seconds.
+        if self.shown == Some(state) && self.round % 25 != 0 {
+            return;
+        }
+        if self.shown.is_some_and(|(.., known, _)| known != routers) {
+            self.keep(now);
+        }
+        self.shown = Some(state);
+        let other = |e: &crate::table::Entry| MemberView {
+            name: e.life.name.clone(),
+            address: self.reach(&e.life),
+            incarnation: e.life.incarnation,
+            state: e.state,
+            since: e.since,
+            left: e.life.left,
+        };
+        let own = MemberView {
+            name: self.me.name.clone(),
+            address: self.me.address,
+            incarnation: self.me.incarnation,
+            state: if self.me.left { State::Gone } else { State::Alive },
+            since: self.started,
+            left: self.me.left,
+        };
+        let mut members: Vec<MemberView> = self.table.iter().map(other).chain([own]).collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        self.board.show(View {
+            fleet: self.settings.fleet.clone(),
+            name: self.me.name.clone(),
+            incarnation: self.me.incarnation,
+            standing: self.standing,
+            settled: state.0,
+            digest: self.digest,
+            routers,
+            members,
+            tally: self.tally,
+        });
+    }
+}
+
+/// Members that are told of a goodbye at once; the others hear of it through them.
+const GOODBYES_AT_ONCE: usize = 32;
+
+impl Machine for Fleet {
+    fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
+        if self.stopped {
+            return;
+        }
+        self.mind_the_gap(now, out);
+        let quiet = matches!(self.standing, Standing::Yielded);
+        match input {
+            Input::Datagram(_, from, bytes) if !quiet => self.read(now, from, bytes, out),
+            Input::Accepted(conn, _) if quiet => out.push(Output::Abort(conn)),
+            Input::Accepted(conn, _) => self.exchanges.accept(now, conn, out),
+            Input::Connected(conn) => out.push(Output::Write(conn, self.whole_frame(now))),
+            Input::Data(conn, bytes) => match self.exchanges.data(conn, bytes, out) {
+                Came::Part => {}
+                Came::Bad(bad) => self.bad(now, &bad, SocketAddr::from(([0, 0, 0, 0], 0)), out),
+                Came::Whole { message, answer } => {
+                    self.tally.exchanges += 1;
+                    if answer {
+                        out.push(Output::Write(conn, self.whole_frame(now)));
+                        out.push(Output::Finish(conn));
+                    }
+                    if !quiet {
+                        self.take(now, &message, false, out);
+                    }
+                }
+            },
+            Input::Eof(conn) => self.exchanges.eof(conn, out),
+            Input::Lost(conn, _) => self.exchanges.lost(conn),
+            Input::Stop => {
+                self.stopping = true;
+                self.leave(out);
+            }
+            Input::News(news) => {
+                if let Some(peers) = news.downcast_ref::<Arc<Peers>>() {
+                    self.peers = (**peers).clone();
+                    out.push(Output::Log(format!(
+                        "fleet: {} seeds and a book of {}",
+                        self.peers.seeds.len(),
+                        self.peers.book.len()
+                    )));
+                }
+            }
+            Input::Datagram(..) | Input::Sent(..) | Input::Wake => {}
+        }
+        self.wake(now, out);
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        // Exchanges that are late are ended with the round after their time.
+        (!self.stopped).then_some(self.next_round)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/kept.rs
@@ -0,0 +1,109 @@
+//! What outlives the process, as the bytes of one small file: its incarnation, how many routers it reckoned with, and where it had
+//! met others. Lines of text, for people, under a version and a checksum; a file that is cut short or changed is refused whole.
+
+use std::fmt;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+const HEAD: &str = "slipreel fleet 1";
+/// Contacts that are kept.
+pub(crate) const CONTACTS: usize = 64;
+
+/// What a member knew at its end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// The incarnation of the life that wrote it; 0 if there was none.
+    pub incarnation: u64,
+    /// Routers that it reckoned with.
+    pub routers: u32,
+    /// Members that it saw, with their addresses, by name.
+    pub contacts: Vec<(String, SocketAddr)>,
+}
+
+/// Why a file is not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeptFault {
+    /// It is not such a file, or of another version: its first line.
+    Version(String),
+    /// The checksum does not fit: it is cut short or was changed.
+    Checksum,
+    /// A line can't be read.
+    Line(usize, String),
+}
+
+impl fmt::Display for KeptFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            KeptFault::Version(found) => write!(f, "{found:?}: expected {HEAD:?}"),
+            KeptFault::Checksum => f.write_str("the checksum does not fit: cut short or changed"),
+            KeptFault::Line(n, found) => write!(f, "line {n}: {found:?}: expected a key and its value"),
+        }
+    }
+}
+
+impl std::error::Error for KeptFault {}
+
+impl Kept {
+    /// The file's text.
+    pub fn encode(&self) -> String {
+        let mut body = format!("incarnation {}\nrouters {}\n", self.incarnation, self.routers);
+        for (name, address) in &self.contacts {
+            body += &format!("member {name} {address}\n");
+        }
+        format!("{HEAD}\nchecksum {:016x}\n{body}", xxh3_64(body.as_bytes()))
+    }
+
+    /// Reads a file's text.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    pub fn decode(text: &str) -> Result<Kept, KeptFault> {
+        let (head, rest) = text.split_once('\n').unwrap_or((text, ""));
+        if head != HEAD {
+            return Err(KeptFault::Version(head.chars().take(80).collect()));
+        }
+        let (sum, body) = rest.split_once('\n').ok_or(KeptFault::Checksum)?;
+        if sum != format!("checksum {:016x}", xxh3_64(body.as_bytes())) {
+            return Err(KeptFault::Checksum);
+        }
+        let mut kept = Kept::default();
+        for (n, line) in body.lines().enumerate() {
+            let fault = || KeptFault::Line(n + 3, line.to_owned());
+            let mut words = line.split(' ');
+            let (key, value) = (words.next(), words.next().ok_or_else(fault)?);
+            match key {
+                Some("incarnation") => kept.incarnation = value.parse().map_err(|_| fault())?,
+                Some("routers") => kept.routers = value.parse().map_err(|_| fault())?,
+                Some("member") => {
+                    let address = words.next().and_then(|a| a.parse().ok()).ok_or_else(fault)?;
+                    if kept.contacts.len() < CONTACTS {
+                        kept.contacts.push((value.to_owned(), address));
+                    }
+                }
+                _ => return Err(fault()),
+            }
+        }
+        Ok(kept)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_comes_back_and_a_torn_or_foreign_one_is_named() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let kept = Kept { incarnation: 7, routers: 3, contacts: vec![("a".into(), address)] };
+        let text = kept.encode();
+        assert_eq!(Kept::decode(&text), Ok(kept));
+        for cut in 0..text.len() {
+            assert!(Kept::decode(&text[..cut]).is_err(), "cut at {cut}");
+        }
+        let newer = text.replace("fleet 1", "fleet 2");
+        assert_eq!(Kept::decode(&newer), Err(KeptFault::Version("slipreel fleet 2".into())));
+        let body = "incarnation x\n";
+        let bad = format!("{HEAD}\nchecksum {:016x}\n{body}", xxh3_64(body.as_bytes()));
+        assert_eq!(Kept::decode(&bad), Err(KeptFault::Line(3, "incarnation x".into())));
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,6 +7,7 @@
 use crate::members::Members;
 use crate::site::{EngineSite, Site};
 use slipreel::{Action, EngineId, Event, Listing, RequestId, Router, TimerId};
+use slipreel_fleet::{Board, Standing};
 use slipreel_links::{Client, Due, LetGo, Pool, State as ClientState, Wheel};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -34,6 +35,10 @@
     pub probes: u64,
 }
 
+/// News for a front: so many routers share the fleet from now on, this one counted. What was learnt stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sharing(pub u32);
+
 /// Why a timer was set.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Alarm {
@@ -89,6 +94,10 @@
     pub(crate) tally: Tally,
     /// By class name, as names outlive reloads.
     pub(crate) gauges: Gauges,
+    /// The view of the fleet, where this process is a member of one.
+    pub(crate) fleet: Option<Arc<Board>>,
+    /// Routers to reckon with by that view; it holds for settings that are read again too.
+    routers: Option<u32>,
 }
 
 impl Front {
@@ -118,6 +127,8 @@
             stopped: false,
             tally: Tally::default(),
             gauges: Gauges::default(),
+            fleet: None,
+            routers: None,
             site: site.clone(),
         };
         front.add_brain(site.clone());
@@ -143,11 +154,29 @@
         let generation = self.brains.last().map_or(0, |b| b.generation + 1);
         let mut settings = site.settings.clone();
         settings.zone = self.members.zone(&site.zone);
+        settings.routers = self.routers.unwrap_or(settings.routers);
         let router = Router::new(settings, self.seed.wrapping_add(generation));
         self.brains.push(Brain { generation, router });
         self.site = site;
     }
 
+    /// The view reckons with another number of routers: all that was learnt stays.
+    fn share_with(&mut self, routers: Sharing) {
+        self.routers = Some(routers.0);
+        self.brains.iter_mut().for_each(|b| b.router.share_with(routers.0));
+    }
+
+    /// Whether another process holds this one's name in the fleet, or is not yet known not to.
+    pub(crate) fn outside(&self) -> Option<&'static str> {
+        match self.fleet.as_ref()?.view().standing {
+            Standing::Ready => None,
+            Standing::Joining => Some("joining"),
+            Standing::Challenged => Some("challenged"),
+            Standing::Yielded => Some("yielded"),
+            Standing::Left => Some("left"),
+        }
+    }
+
     pub(crate) fn generation(&self) -> u64 {
         self.brains.last().map_or(0, |b| b.generation)
     }
@@ -413,13 +442,17 @@
             Input::Sent(..) => {}
             Input::Lost(conn, why) if conn.is_opened() => self.link_lost(conn, why, out),
             Input::Lost(conn, _) => self.client_gone(conn),
-            Input::Wake => {}
+            Input::Wake | Input::Datagram(..) => {}
             Input::Stop => self.stop(out),
             Input::News(news) => {
                 if let Some(list) = news.downcast_ref::<Vec<EngineSite>>() {
                     self.take_list(list, out);
                 } else if let Some(site) = news.downcast_ref::<Arc<Site>>() {
                     self.take_site(site, out);
+                } else if let Some(board) = news.downcast_ref::<Arc<Board>>() {
+                    self.fleet = Some(board.clone());
+                } else if let Some(routers) = news.downcast_ref::<Sharing>() {
+                    self.share_with(*routers);
                 }
             }
         }
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -246,6 +246,13 @@
     }
 }
 
+/// A published text with further lines before its end.
+pub(crate) fn with(text: String, more: Option<String>) -> String {
+    let Some(more) = more else { return text };
+    let end = text.strip_suffix("# EOF\n").unwrap_or(&text);
+    format!("{end}{more}# EOF\n")
+}
+
 /// The same text with the samples of each metric in the order of their labels: the library keeps them in hash maps, and
 /// the same day has to give the same bytes. The samples of one histogram stay together, as their own order counts.
 fn in_order(text: &str) -> String {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,6 @@
 mod verdict;
 
 pub use call::Final;
-pub use front::{Front, Tally};
+pub use front::{Front, Sharing, Tally};
 pub use members::engine_id;
 pub use site::Site;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -104,7 +104,12 @@
                 self.models(conn, received, Some(&path["/v1/models/".len()..]), out)
             }
             ("GET", "/health") => {
-                let (status, word) = if self.stopping { (503, "stopping") } else { (200, "ok") };
+                let outside = self.outside();
+                let (status, word) = match outside {
+                    _ if self.stopping => (503, "stopping"),
+                    Some(word) => (503, word),
+                    None => (200, "ok"),
+                };
                 self.answer(conn, status, &[], json!({"status": word}).to_string().as_bytes(), out);
                 Ok(())
             }
@@ -120,17 +125,51 @@
         }
     }
 
+    /// What operators ask of the view of the fleet.
+    fn operate_fleet(&mut self, conn: ConnId, method: &str, path: &str, out: &mut Vec<Output>) {
+        let Some(board) = self.fleet.clone() else { return };
+        let (what, name) = path["/fleet/".len()..].split_once('/').unwrap_or((&path["/fleet/".len()..], ""));
+        let done = json!({"done": true}).to_string();
+        let (status, text) = match (method, what, name) {
+            ("GET", "status", "") => (200, board.view().json(self.now)),
+            ("POST", "leave", "") => {
+                board.ask_to_leave();
+                (202, done)
+            }
+            ("POST", "forget", name) if board.view().members.iter().any(|m| m.name == name) => {
+                let room = board.ask_to_forget(name);
+                (if room { 202 } else { 503 }, done)
+            }
+            ("POST", "forget", name) => {
+                let fault =
+                    Fault::new(ErrorKind::NotFound, format!("{name:?}: expected the name of a member"));
+                return self.turn(conn, 404, &fault, &[], out);
+            }
+            _ => {
+                let what = format!(
+                    "{method} {path}: expected GET /fleet/status, POST /fleet/leave or /fleet/forget/NAME"
+                );
+                return self.turn(conn, 404, &Fault::new(ErrorKind::NotFound, what), &[], out);
+            }
+        };
+        self.answer(conn, status, &[], text.as_bytes(), out);
+    }
+
     /// What operators ask, on a port of their own.
     fn operate(&mut self, conn: ConnId, method: &str, path: &str, out: &mut Vec<Output>) {
         match (method, path) {
             ("GET", "/metrics") => {
-                let text = self.gauges.write(&self.stands());
+                let view = self.fleet.as_ref().map(|board| board.view().metrics());
+                let text = gauges::with(self.gauges.write(&self.stands()), view);
                 self.answer(conn, 200, &[("content-type", gauges::MEDIA_TYPE)], text.as_bytes(), out);
             }
             (_, "/metrics") => {
                 let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
                 self.turn(conn, 405, &fault, &[], out);
             }
+            _ if path.starts_with("/fleet/") && self.fleet.is_some() => {
+                self.operate_fleet(conn, method, path, out)
+            }
             _ => {
                 let fault = Fault::new(ErrorKind::NotFound, format!("no such path for operators: {path}"));
                 self.turn(conn, 404, &fault, &[], out);
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -60,6 +60,8 @@
     Sent(ConnId, usize),
     /// The connection is over. Nothing follows for it.
     Lost(ConnId, Loss),
+    /// A datagram has come in by one of the machine's datagram sockets ([`Door`]s of their own count), from this address.
+    Datagram(Door, SocketAddr, &'a [u8]),
     /// The time given by [`Machine::wake_at`] has come, or passed.
     Wake,
     /// Take no new work, finish what runs, then say [`Output::Stopped`].
@@ -85,6 +87,9 @@
     Pause(ConnId),
     /// Hand over data again.
     Resume(ConnId),
+    /// Send a datagram by one of the machine's datagram sockets. It may be lost, late, doubled or out of order, and
+    /// nothing is told of it.
+    Datagram(Door, SocketAddr, Vec<u8>),
     /// All work is done after [`Input::Stop`].
     Stopped,
     /// A line for the staff.
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -6,7 +6,7 @@
 use rustix::event::{eventfd, EventfdFlags, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::Errno;
-use rustix::net::{self, sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
+use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
 use slipreel_machine::{ConnId, Door, Input, Loss, Machine, Output};
 use std::any::Any;
 use std::collections::{HashMap, VecDeque};
@@ -24,6 +24,8 @@
 /// Wait before accepting goes on after descriptors ran out.
 const NO_DESCRIPTORS: Duration = Duration::from_millis(50);
 const BACKLOG: i32 = 4096;
+/// Datagrams taken at once before others have their turn. None is longer than a read.
+const DATAGRAMS: usize = 64;
 
 /// A clock that several loops share.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +89,8 @@
 struct Node<M> {
     machine: M,
     listeners: Vec<SocketAddr>,
+    /// Its datagram sockets: their addresses and slots.
+    datagrams: Vec<(SocketAddr, usize)>,
     by_id: HashMap<ConnId, usize>,
     accepted: u64,
     dead: bool,
@@ -102,8 +106,16 @@
     resting: Option<Duration>,
 }
 
+/// A datagram socket.
+struct Mailbox {
+    fd: OwnedFd,
+    node: usize,
+    door: Door,
+}
+
 enum Slot {
     Free,
+    Mailbox(Mailbox),
     Conn(Box<Conn>),
     Listener(Listener),
 }
@@ -224,6 +236,7 @@
         self.nodes.push(Node {
             machine,
             listeners: Vec::new(),
+            datagrams: Vec::new(),
             by_id: HashMap::new(),
             accepted: 0,
             dead: false,
@@ -238,6 +251,19 @@
     /// # Errors
     /// The address is not a loopback one, or in use.
     pub fn listen(&mut self, node: NodeId, addr: SocketAddr) -> Result<SocketAddr, NetError> {
+        self.listen_with(node, addr, true)
+    }
+
+    /// Listens for a machine at an address that no other listener has: two processes that are given the same one by mistake
+    /// are not to share what comes in.
+    ///
+    /// # Errors
+    /// The address is not a loopback one, or in use.
+    pub fn listen_alone(&mut self, node: NodeId, addr: SocketAddr) -> Result<SocketAddr, NetError> {
+        self.listen_with(node, addr, false)
+    }
+
+    fn listen_with(&mut self, node: NodeId, addr: SocketAddr, shared: bool) -> Result<SocketAddr, NetError> {
         self.check(addr)?;
         let system = |e: Errno| NetError::System(addr, e.into());
         let fd = net::socket_with(
@@ -248,7 +274,9 @@
         )
         .map_err(system)?;
         sockopt::set_socket_reuseaddr(&fd, true).map_err(system)?;
-        sockopt::set_socket_reuseport(&fd, true).map_err(system)?;
+        if shared {
+            sockopt::set_socket_reuseport(&fd, true).map_err(system)?;
+        }
         net::bind(&fd, &addr).map_err(system)?;
         net::listen(&fd, BACKLOG).map_err(system)?;
         let bound = net::getsockname(&fd).map_err(system)?;
@@ -262,6 +290,27 @@
         Ok(bound)
     }
 
+    /// Opens a datagram socket for a machine; gives its address, with the port that the system chose if 0 was asked for.
+    ///
+    /// # Errors
+    /// The address is not a loopback one, or in use.
+    pub fn listen_datagrams(&mut self, node: NodeId, addr: SocketAddr) -> Result<SocketAddr, NetError> {
+        self.check(addr)?;
+        let system = |e: Errno| NetError::System(addr, e.into());
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd = net::socket_with(family(addr), SocketType::DGRAM, flags, None).map_err(system)?;
+        net::bind(&fd, &addr).map_err(system)?;
+        let bound = net::getsockname(&fd).map_err(system)?;
+        let bound = SocketAddr::try_from(bound).map_err(system)?;
+        let slot = self.slot();
+        epoll::add(&self.epoll, &fd, token(slot, self.uses[slot]), EventFlags::IN).map_err(system)?;
+        let door = Door(self.nodes[node.0].datagrams.len());
+        self.slots[slot] = Slot::Mailbox(Mailbox { fd, node: node.0, door });
+        self.doors.push(slot);
+        self.nodes[node.0].datagrams.push((bound, slot));
+        Ok(bound)
+    }
+
     /// Looks at a machine.
     pub fn machine(&self, node: NodeId) -> &M {
         &self.nodes[node.0].machine
@@ -373,6 +422,7 @@
         let mine = |s: &Slot| match s {
             Slot::Conn(c) => c.node == node,
             Slot::Listener(l) => l.node == node,
+            Slot::Mailbox(m) => m.node == node,
             Slot::Free => false,
         };
         let slots: Vec<usize> = (0..self.slots.len()).filter(|&s| mine(&self.slots[s])).collect();
@@ -388,17 +438,30 @@
     fn revive(&mut self, node: NodeId, machine: M) {
         let n = &mut self.nodes[node.0];
         (n.machine, n.dead, n.frozen, n.stopped) = (machine, false, false, false);
-        for addr in std::mem::take(&mut n.listeners) {
+        let (listeners, datagrams) = (std::mem::take(&mut n.listeners), std::mem::take(&mut n.datagrams));
+        for addr in listeners {
             if let Err(why) = self.listen(node, addr) {
                 (self.log)(node, &format!("can't listen again: {why}"));
             }
         }
+        for (addr, _) in datagrams {
+            if let Err(why) = self.listen_datagrams(node, addr) {
+                (self.log)(node, &format!("can't take datagrams again: {why}"));
+            }
+        }
     }
 
     fn freeze(&mut self, node: usize, frozen: bool) {
         self.nodes[node].frozen = frozen;
         let slots: Vec<usize> = self.nodes[node].by_id.values().copied().collect();
         slots.into_iter().for_each(|slot| self.set_interest(slot));
+        // What comes for a process that does not run waits in its socket, as far as that holds it.
+        let interest = if frozen { EventFlags::empty() } else { EventFlags::IN };
+        for &(_, slot) in &self.nodes[node].datagrams {
+            if let Slot::Mailbox(m) = &self.slots[slot] {
+                let _ = epoll::modify(&self.epoll, &m.fd, token(slot, self.uses[slot]), interest);
+            }
+        }
     }
 
     // ---- Readiness -----------------------------------------------------------------------------
@@ -406,6 +469,7 @@
     fn ready(&mut self, slot: usize, flags: EventFlags) {
         match &self.slots[slot] {
             Slot::Listener(_) => self.accept(slot),
+            Slot::Mailbox(_) => self.take_datagrams(slot),
             Slot::Conn(c) => match c.phase {
                 Phase::Connecting => self.connected(slot),
                 Phase::Open => {
@@ -465,6 +529,27 @@
         }
     }
 
+    fn take_datagrams(&mut self, slot: usize) {
+        let mut buf = [0; READ];
+        for _ in 0..DATAGRAMS {
+            let Slot::Mailbox(m) = &self.slots[slot] else { return };
+            let (node, door) = (m.node, m.door);
+            if self.nodes[node].frozen {
+                return;
+            }
+            match net::recvfrom(&m.fd, &mut buf[..], RecvFlags::empty()) {
+                Ok((n, _, Some(from))) => {
+                    if let Ok(from) = SocketAddr::try_from(from) {
+                        self.give(node, Input::Datagram(door, from, &buf[..n]));
+                    }
+                }
+                Err(Errno::AGAIN) => return,
+                // What was sent before met no socket: the next call takes what is there.
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
     fn connected(&mut self, slot: usize) {
         let Slot::Conn(conn) = &mut self.slots[slot] else { return };
         let (node, id) = (conn.node, conn.id);
@@ -619,11 +704,22 @@
                     self.close(slot);
                 }
             }
+            Output::Datagram(Door(door), to, bytes) => {
+                let slot = self.nodes[node].datagrams.get(door).map(|&(_, slot)| slot);
+                if let (Some(Slot::Mailbox(m)), Ok(())) = (slot.map(|s| &self.slots[s]), self.check(to)) {
+                    // A full buffer or a peer that is not there loses it, as a network may.
+                    let _ = net::sendto(&m.fd, &bytes, SendFlags::empty(), &to);
+                }
+            }
             Output::Pause(id) => self.pause(node, id, true),
             Output::Resume(id) => self.pause(node, id, false),
             Output::Stopped => {
                 self.nodes[node].stopped = true;
-                let mine = |s: &Slot| matches!(s, Slot::Listener(l) if l.node == node);
+                let mine = |s: &Slot| match s {
+                    Slot::Listener(l) => l.node == node,
+                    Slot::Mailbox(m) => m.node == node,
+                    _ => false,
+                };
                 let slots: Vec<usize> = (0..self.slots.len()).filter(|&s| mine(&self.slots[s])).collect();
                 slots.into_iter().for_each(|slot| self.close(slot));
             }
@@ -711,7 +807,7 @@
                     self.nodes[conn.node].by_id.remove(&conn.id);
                 }
             }
-            Slot::Listener(_) => self.doors.retain(|&door| door != slot),
+            Slot::Listener(_) | Slot::Mailbox(_) => self.doors.retain(|&door| door != slot),
             Slot::Free => return,
         }
         self.uses[slot] = self.uses[slot].wrapping_add(1);
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -506,7 +506,7 @@
             Input::Lost(conn, _) if self.is_watch(conn) => self.watch_over("its connection broke", out),
             Input::Lost(conn, why) if conn.is_opened() => self.link_lost(conn, why, out),
             Input::Lost(conn, _) => self.client_gone(conn, out),
-            Input::Wake => {}
+            Input::Wake | Input::Datagram(..) => {}
             Input::Stop => self.stop(),
             Input::News(news) => {
                 if let Some(config) = news.downcast_ref::<Config>() {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`messages`]: the Messages API that clients speak.
 //! - [`engine`]: chat completions and load reports, as the open engine serves them.
 //! - [`endpoints`]: the EndpointSlice JSON format, for the list of engines.
+//! - [`fleet`]: what routers of one fleet tell each other.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod endpoints;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod messages;
 pub mod sse;
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -339,7 +339,7 @@
                 self.stopped = true;
                 out.push(Output::Stopped);
             }
-            Input::Accepted(..) | Input::Sent(..) | Input::Wake | Input::Stop => {}
+            Input::Accepted(..) | Input::Sent(..) | Input::Wake | Input::Datagram(..) | Input::Stop => {}
         }
         if self.stopped {
             return;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,12 +7,14 @@
 #![warn(missing_docs)]
 
 mod doc;
+mod fleet;
 mod roles;
 mod site;
 mod slices;
 mod values;
 
 pub use doc::{Doc, Fault, Section};
+pub use fleet::{read_book, FleetSite};
 pub use roles::{parse_roles, RolesSite};
 pub use site::{read_site, Daemon, LogFormat, SITE_SECTIONS};
 pub use slices::{engines_from_slices, engines_to_slices};
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -1,6 +1,7 @@
 //! From sections to a [`Site`]: defaults, and checks across sections.
 
 use crate::doc::Doc;
+use crate::fleet::{read_fleet, FleetSite};
 use crate::values::{Bytes, Loopback, Name, Value};
 use slipreel::{Class, Effect, EngineState, Group, Limits, ReportSource, Role, Settings, Tenant, ZoneId};
 use slipreel_front::site::{
@@ -13,7 +14,7 @@
 
 /// The sections of a router's settings.
 pub const SITE_SECTIONS: &[&str] =
-    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "roles"];
+    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "roles", "fleet"];
 
 /// How lines are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +49,8 @@
     pub threads: usize,
     /// A file in the EndpointSlice JSON format with the list of engines, if it comes from there.
     pub engines_file: Option<PathBuf>,
+    /// The fleet that it is a member of; `None`: it knows itself alone.
+    pub fleet: Option<FleetSite>,
     /// How lines are logged.
     pub log_format: LogFormat,
     /// Least level of what is logged, as tracing names it.
@@ -121,6 +124,8 @@
         zone: doc.or(router, "zone", Name("default".into())).0,
         name: doc.or(router, "name", Name("slipreel".into())).0,
     };
+    let taken: Vec<SocketAddr> = listen.iter().map(|l| l.0).chain(operators).collect();
+    let fleet = read_fleet(doc, router, &taken);
     let log_format = doc.or(log, "format", LogFormat::Text);
     let log_level = doc.or(log, "level", "info".to_owned());
     if let Some(at) =
@@ -128,7 +133,7 @@
     {
         doc.say(at, "level", format!("{log_level:?}: expected trace, debug, info, warn or error"));
     }
-    Some(Daemon { site, listen: listen?.0, operators, threads, engines_file, log_format, log_level })
+    Some(Daemon { site, listen: listen?.0, operators, threads, engines_file, fleet, log_format, log_level })
 }
 
 fn at_least_one(doc: &mut Doc, at: Option<usize>, key: &str, default: usize) -> usize {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -726,6 +726,7 @@
                 waiting.into_iter().for_each(|id| self.pump(now, id, out));
             }
             Input::Stop => self.stopping = true,
+            Input::Datagram(..) => {}
             Input::News(news) => {
                 if let Some(fault) = news.downcast_ref::<Fault>() {
                     self.fault(now, fault, out);
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -16,6 +16,8 @@
 
 /// Bytes of one direction that may be on their way or unread.
 const WINDOW: usize = 256 << 10;
+/// Datagrams that wait in a socket whose process does not run.
+const MAILBOX: usize = 160;
 
 /// How long things take.
 #[derive(Clone, Copy, Debug)]
@@ -76,6 +78,7 @@
     Arrive { link: u64, to: usize, piece: Piece },
     Deliver { link: u64, to: usize },
     Sent { link: u64, from: usize, n: usize },
+    Datagram { from: SocketAddr, to: SocketAddr, bytes: Vec<u8> },
 }
 
 struct Node<M> {
@@ -89,6 +92,9 @@
     /// Links that stand and that the frozen machine has not been told of.
     backlog: Vec<u64>,
     by_id: HashMap<ConnId, (u64, usize)>,
+    /// Its datagram sockets, and what waits in them while it does not run.
+    mailboxes: Vec<SocketAddr>,
+    waiting: VecDeque<(Door, SocketAddr, Vec<u8>)>,
 }
 
 /// Hosts machines in virtual time.
@@ -99,6 +105,7 @@
     events: HashMap<u64, Event>,
     nodes: Vec<Node<M>>,
     listeners: BTreeMap<SocketAddr, usize>,
+    mailboxes: BTreeMap<SocketAddr, (usize, Door)>,
     links: HashMap<u64, Link>,
     next_link: u64,
     delays: Delays,
@@ -118,6 +125,7 @@
             events: HashMap::new(),
             nodes: Vec::new(),
             listeners: BTreeMap::new(),
+            mailboxes: BTreeMap::new(),
             links: HashMap::new(),
             next_link: 0,
             delays,
@@ -161,6 +169,8 @@
             wake: None,
             backlog: Vec::new(),
             by_id: HashMap::new(),
+            mailboxes: Vec::new(),
+            waiting: VecDeque::new(),
         });
         addrs.iter().for_each(|a| {
             self.listeners.insert(*a, node);
@@ -169,6 +179,15 @@
         node
     }
 
+    /// Opens datagram sockets for a machine, at these addresses.
+    pub fn open_mailboxes(&mut self, node: usize, addrs: &[SocketAddr]) {
+        for &addr in addrs {
+            let door = Door(self.nodes[node].mailboxes.len());
+            self.nodes[node].mailboxes.push(addr);
+            self.mailboxes.insert(addr, (node, door));
+        }
+    }
+
     /// A machine.
     pub fn machine(&self, node: usize) -> &M {
         &self.nodes[node].machine
@@ -194,7 +213,9 @@
         let n = &mut self.nodes[node];
         n.dead = true;
         n.backlog.clear();
+        n.waiting.clear();
         n.by_id.clear();
+        self.mailboxes.retain(|_, (n, _)| *n != node);
         self.listeners.retain(|_, n| *n != node);
         let mut mine: Vec<u64> = self
             .links
@@ -220,6 +241,9 @@
         for addr in n.addrs.clone() {
             self.listeners.insert(addr, node);
         }
+        for (at, addr) in n.mailboxes.clone().into_iter().enumerate() {
+            self.mailboxes.insert(addr, (node, Door(at)));
+        }
         self.plan_wake(node);
     }
 
@@ -235,6 +259,9 @@
         let mut mine: Vec<(u64, usize)> = self.nodes[node].by_id.values().copied().collect();
         mine.sort_unstable();
         mine.into_iter().for_each(|(link, end)| self.deliver(link, end));
+        for (door, from, bytes) in std::mem::take(&mut self.nodes[node].waiting) {
+            self.give(node, Input::Datagram(door, from, &bytes));
+        }
         self.give(node, Input::Wake);
     }
 
@@ -275,6 +302,7 @@
                 }
             }
             Event::Deliver { link, to } => self.deliver(link, to),
+            Event::Datagram { from, to, bytes } => self.take_datagram(from, to, bytes),
             Event::Sent { link, from, n } => {
                 let end = self.links.get(&link).map(|l| l.ends[from]);
                 if let Some(end) = end.filter(|e| e.open) {
@@ -345,6 +373,21 @@
         self.deliver(link, 1);
     }
 
+    fn take_datagram(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let Some(&(node, door)) = self.mailboxes.get(&to) else { return };
+        let n = &mut self.nodes[node];
+        if n.frozen {
+            // As much as a socket holds; what comes after that is lost.
+            if n.waiting.len() < MAILBOX {
+                n.waiting.push_back((door, from, bytes));
+            }
+            return;
+        }
+        let when = self.now.as_nanos() as u64 ^ (node as u64) << 56;
+        self.digest = xxh3_64_with_seed(&bytes, self.digest ^ when);
+        self.give(node, Input::Datagram(door, from, &bytes));
+    }
+
     fn connected(&mut self, link: u64) {
         let Some(l) = self.links.get_mut(&link) else { return };
         if l.ends[0].open && !std::mem::replace(&mut l.connected, true) {
@@ -503,6 +546,11 @@
                 let Some((link, end)) = found(&id) else { return };
                 self.reset(link, end);
             }
+            Output::Datagram(Door(door), to, bytes) => {
+                let Some(&from) = self.nodes[node].mailboxes.get(door) else { return };
+                let at = self.now + self.delay();
+                self.plan(at, Event::Datagram { from, to, bytes });
+            }
             Output::Pause(id) | Output::Resume(id) => {
                 let Some((link, end)) = found(&id) else { return };
                 let paused = matches!(output, Output::Pause(_));
@@ -517,6 +565,7 @@
             Output::Stopped => {
                 self.nodes[node].stopped = true;
                 self.listeners.retain(|_, n| *n != node);
+                self.mailboxes.retain(|_, (n, _)| *n != node);
             }
             Output::Log(line) => self.log.push((self.now, node, line)),
         }
--- a/src/rules/gauge.rs
+++ b/src/rules/gauge.rs
@@ -1,4 +1,5 @@
-//! What a router holds, for its host to show and to check against its sockets. Decides nothing.
+//! What a router holds, for its host to show and to check against its sockets, and the one setting that changes while it runs.
+//! Decides nothing.
 
 use super::Router;
 use crate::interface::EngineId;
@@ -9,6 +10,12 @@
         (self.jobs.len(), self.alarms.len(), self.servers.len())
     }
 
+    /// So many routers share the fleet from now on, this one counted. All that was learnt stays: parts of quotas and of cold
+    /// budgets are worked out from the count each time.
+    pub fn share_with(&mut self, routers: u32) {
+        self.settings.routers = routers.max(1);
+    }
+
     /// Its own attempts that it counts as out, by engine of the list.
     pub fn under_way(&self) -> impl Iterator<Item = (EngineId, f64)> + '_ {
         self.servers.iter().map(|(&id, server)| (id, server.out))
