Proving ground: processes, a wire of relays, faults by script and seed, history and judge

Need: unit tests convince nobody of how many processes behave together. Change: crates/ground plays a script with processes of the built program or with the same machines in virtual time: kills, lost folders, goodbyes, stops, cuts in both directions, one, or of a pair, weather, slow and mute connections, noise, twins; slipreel ground.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod engine;
 mod fleet;
+mod ground;
 mod load;
 mod logs;
 mod member;
@@ -51,6 +52,8 @@
     Model(model::Args),
     /// See, plan, order and freeze changes of engines between reading and writing.
     Roles(roles::Args),
+    /// Start many routers as processes, put faults between them, and judge what they did.
+    Ground(ground::Args),
     /// See who is in the fleet of a running router, follow changes, say goodbye.
     Fleet(fleet::Args),
     /// Print a completion script for a shell.
@@ -110,6 +113,7 @@
         Command::Model(args) => model::run(&args),
         Command::Roles(args) => roles::run(&args),
         Command::Fleet(args) => fleet::run(&args),
+        Command::Ground(args) => ground::run(&args),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "slipreel", &mut std::io::stdout());
             Ok(())
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -49,8 +49,16 @@
 /// Every fault of the text, by line.
 pub fn read_day(text: &str, file: &str) -> Result<Day, Vec<Fault>> {
     let mut doc = Doc::parse(text, file)?;
-    let engines = read_engines(&mut doc);
-    let site = read_site(&mut doc, false);
+    let day = read_day_parts(&mut doc);
+    doc.finish(DAY_SECTIONS)?;
+    day.ok_or_else(Vec::new)
+}
+
+/// Reads the sections of a day from a document that may hold others. `None` if something that has to be there is missing; the
+/// document says what.
+pub fn read_day_parts(doc: &mut Doc) -> Option<Day> {
+    let engines = read_engines(doc);
+    let site = read_site(doc, false);
     let at = doc.one("day");
     let seed = doc.or(at, "seed", 1u64);
     let length = doc.or(at, "length", Duration::from_secs(20));
@@ -58,13 +66,12 @@
     let notice = doc.or(at, "notice", Duration::from_millis(1_000));
     let policy = at.and_then(|at| doc.get::<PolicyName>(at, "roles"));
     let roles = policy.and_then(|p| p.0);
-    let mut streams = read_traffic(&mut doc, length);
-    let troubles = read_troubles(&mut doc);
-    doc.finish(DAY_SECTIONS)?;
-    let Some(Daemon { site, .. }) = site else { return Err(Vec::new()) };
+    let mut streams = read_traffic(doc, length);
+    let troubles = read_troubles(doc);
+    let Daemon { site, .. } = site?;
     shape_traffic(&mut streams, &troubles);
     let plans = spread_traffic(&site, &streams, seed, 1);
-    Ok(Day { seed, length, routers, site, engines, plans, troubles, notice, roles, sabotage: None })
+    Some(Day { seed, length, routers, site, engines, plans, troubles, notice, roles, sabotage: None })
 }
 
 fn read_engines(doc: &mut Doc) -> Vec<EnginePlan> {
--- /dev/null
+++ b/crates/ground/src/judge.rs
@@ -0,0 +1,233 @@
+//! Judges a history: does one view stand at the end, was nobody called gone who was well, how long did things take.
+
+use crate::history::{Event, History, Sight};
+use crate::script::{Kind, Script};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// For so long after a router or a way to it was in trouble, being called gone is no false alarm: who waits for news is right to
+/// be late.
+const EXCUSED: Duration = Duration::from_secs(8);
+/// A schedule that ran later than this is said to, and times are not judged.
+pub(crate) const LATE: Duration = Duration::from_millis(1_000);
+
+/// What the judge found.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// What is wrong; empty if nothing is.
+    pub wrong: Vec<String>,
+    /// From the last fault's end to one settled view on all, for good.
+    pub settled_in: Option<Duration>,
+    /// From a kill to `gone`, by each that saw it.
+    pub detected_in: Vec<Duration>,
+    /// A router that was well was called gone by one that was.
+    pub false_alarms: usize,
+    /// Times at which a router was suspect without being in trouble; nothing follows from it.
+    pub suspicions: usize,
+    /// The schedule ran so late.
+    pub late: Duration,
+}
+
+fn name(router: usize) -> String {
+    format!("r{router}")
+}
+
+/// Who is up, and since when each pair was last in trouble.
+struct Truth {
+    up: Vec<bool>,
+    still: Vec<bool>,
+    apart: BTreeSet<(usize, usize)>,
+    /// When a router's process was last started, ended, stopped or let go on.
+    moved: Vec<Option<Duration>>,
+    rejoined: BTreeMap<(usize, usize), Duration>,
+    weather: Option<Duration>,
+    bad_weather: usize,
+    killed: BTreeMap<usize, Duration>,
+    twins: BTreeSet<usize>,
+}
+
+impl Truth {
+    fn excused(&self, at: Duration, a: usize, b: usize) -> bool {
+        let recent = |t: Option<Duration>| t.is_some_and(|t| at < t + EXCUSED);
+        let pair = (a.min(b), a.max(b));
+        !self.up[a]
+            || !self.up[b]
+            || self.still[a]
+            || self.still[b]
+            || self.apart.contains(&pair)
+            || recent(self.moved[a])
+            || recent(self.moved[b])
+            || recent(self.rejoined.get(&pair).copied())
+            || self.bad_weather > 0
+            || recent(self.weather)
+            || self.twins.contains(&b)
+    }
+}
+
+/// Judges a run.
+pub fn judge(script: &Script, history: &History) -> Verdict {
+    let n = script.routers;
+    let mut verdict = Verdict::default();
+    let mut truth = Truth {
+        up: vec![false; n],
+        still: vec![false; n],
+        apart: BTreeSet::new(),
+        moved: vec![None; n],
+        rejoined: BTreeMap::new(),
+        weather: None,
+        bad_weather: 0,
+        killed: BTreeMap::new(),
+        twins: BTreeSet::new(),
+    };
+    let mut told: BTreeMap<usize, Sight> = BTreeMap::new();
+    let mut calm = Duration::ZERO;
+    let mut one_view: Option<Duration> = None;
+    let mut yielded: BTreeSet<usize> = BTreeSet::new();
+    for (at, event) in &history.events {
+        match event {
+            Event::Started(r, _) => {
+                (truth.up[*r], truth.still[*r], truth.moved[*r]) = (true, false, Some(*at));
+                truth.killed.remove(r);
+            }
+            Event::Ended(r) => {
+                (truth.up[*r], truth.moved[*r]) = (false, Some(*at));
+                truth.killed.insert(*r, *at);
+                told.remove(r);
+            }
+            Event::Frozen(r, still) => (truth.still[*r], truth.moved[*r]) = (*still, Some(*at)),
+            Event::Apart(a, b, apart) => {
+                let pair = (*a.min(b), *a.max(b));
+                if *apart {
+                    truth.apart.insert(pair);
+                } else {
+                    truth.apart.remove(&pair);
+                    truth.rejoined.insert(pair, *at);
+                }
+            }
+            Event::Fault(kind, whom, begins) => {
+                calm = *at;
+                let bad = |f: &&crate::script::Fault| f.kind == Kind::Weather && f.loss > 0.15;
+                if *kind == Kind::Weather && script.faults.iter().any(|f| bad(&f)) {
+                    truth.bad_weather =
+                        if *begins { truth.bad_weather + 1 } else { truth.bad_weather.saturating_sub(1) };
+                    truth.weather = Some(*at);
+                }
+                if *kind == Kind::Twin {
+                    for w in whom {
+                        if *begins {
+                            truth.twins.insert(*w);
+                        } else {
+                            truth.twins.remove(w);
+                            truth.moved[*w] = Some(*at);
+                        }
+                    }
+                }
+            }
+            Event::Late(late) => verdict.late = verdict.late.max(*late),
+            Event::Twin(r, sight) => {
+                if sight.as_ref().is_some_and(|s| s.standing == "yielded") {
+                    yielded.insert(*r);
+                }
+            }
+            Event::Told(r, None) => {
+                told.remove(r);
+            }
+            Event::Told(r, Some(sight)) => {
+                let before = told.insert(*r, sight.clone());
+                for other in (0..n).filter(|o| o != r) {
+                    let state = |s: Option<&Sight>| {
+                        s.and_then(|s| s.members.get(&name(other))).map(|(s, _)| s.clone())
+                    };
+                    let (was, is) = (state(before.as_ref()), state(Some(sight)));
+                    if was == is {
+                        continue;
+                    }
+                    let excused = truth.excused(*at, *r, other);
+                    match is.as_deref() {
+                        Some("gone") if !excused => {
+                            verdict.false_alarms += 1;
+                            verdict.wrong.push(format!(
+                                "{} ms: r{r} calls r{other} gone, and both are well",
+                                at.as_millis()
+                            ));
+                        }
+                        Some("gone") if !truth.up[other] => {
+                            if let Some(killed) = truth.killed.get(&other) {
+                                verdict.detected_in.push(at.saturating_sub(*killed));
+                            }
+                        }
+                        Some("suspect") if !excused => verdict.suspicions += 1,
+                        _ => {}
+                    }
+                }
+            }
+        }
+        let stands = stands(&truth, &told);
+        one_view = match (stands, one_view) {
+            (true, None) => Some(*at),
+            (true, since) => since,
+            (false, _) => None,
+        };
+    }
+    let end = history.events.last().map_or(Duration::ZERO, |(at, _)| *at);
+    verdict.settled_in = one_view.map(|at| at.saturating_sub(calm));
+    match verdict.settled_in {
+        None => {
+            let told: Vec<String> = (0..n)
+                .map(|r| match told.get(&r) {
+                    None if truth.up[r] => format!("r{r} does not answer"),
+                    None => format!("r{r} is down"),
+                    Some(s) => {
+                        let gone: Vec<&str> = s.called("gone").collect();
+                        format!(
+                            "r{r} {} settled={} {} alive={} gone={gone:?}",
+                            s.standing,
+                            s.settled,
+                            s.digest,
+                            s.called("alive").count()
+                        )
+                    }
+                })
+                .collect();
+            verdict.wrong.push(format!(
+                "no one view at the end, {} ms: {}",
+                end.as_millis(),
+                told.join("; ")
+            ));
+        }
+        Some(took) if took > script.settle && verdict.late < LATE => {
+            verdict.wrong.push(format!(
+                "one view after {} ms: expected within {} ms",
+                took.as_millis(),
+                script.settle.as_millis()
+            ));
+        }
+        Some(_) => {}
+    }
+    for f in script.faults.iter().filter(|f| f.kind == Kind::Twin && f.lasts >= Duration::from_secs(5)) {
+        // A twin that was there for long has yielded, whichever of the two it was: the first one yields never, as it is the older
+        // incarnation only where its folder was lost meanwhile.
+        let alone = script.faults.iter().filter(|o| o.whom.iter().any(|w| f.whom.contains(w))).count() == 1;
+        for w in f.whom.iter().filter(|w| alone && !yielded.contains(w)) {
+            verdict
+                .wrong
+                .push(format!("a second process of the name r{w} ran for {:?} and did not yield", f.lasts));
+        }
+    }
+    verdict
+}
+
+/// Whether all that are up are ready, settled and hold one view, in which just they are.
+fn stands(truth: &Truth, told: &BTreeMap<usize, Sight>) -> bool {
+    let up: Vec<usize> = (0..truth.up.len()).filter(|r| truth.up[*r]).collect();
+    let names: BTreeSet<String> = up.iter().map(|r| name(*r)).collect();
+    let mut digests = BTreeSet::new();
+    let all = up.iter().all(|r| {
+        let Some(sight) = told.get(r) else { return false };
+        digests.insert(sight.digest.clone());
+        let there: BTreeSet<String> =
+            sight.members.iter().filter(|(_, (s, _))| s != "gone").map(|(n, _)| n.clone()).collect();
+        sight.standing == "ready" && sight.settled && there == names
+    });
+    all && digests.len() == 1
+}
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -217,6 +217,8 @@
     pub at: Duration,
     /// What was seen.
     pub what: String,
+    /// Of which try, where the rule is about one answer.
+    pub of: Option<Try>,
 }
 
 /// Judges the records of one run. They need not be in order.
@@ -229,7 +231,7 @@
     drains(&records, figures, &mut breaks);
     for r in &records {
         if let Seen::Fell(engine) = &r.seen {
-            breaks.push(Break { rule: Rule::Cold, at: r.at, what: format!("{engine} fell over") });
+            breaks.push(Break { rule: Rule::Cold, at: r.at, what: format!("{engine} fell over"), of: None });
         }
     }
     pinned(&records, figures, &mut breaks);
@@ -249,7 +251,8 @@
 fn answers(records: &[&Record], figures: &Figures, breaks: &mut Vec<Break>) {
     let mut tries: BTreeMap<Try, Asked> = BTreeMap::new();
     let mut died = Vec::new();
-    let mut say = |at, what: String| breaks.push(Break { rule: Rule::OneAnswer, at, what });
+    let mut say =
+        |of: &Try, at, what: String| breaks.push(Break { rule: Rule::OneAnswer, at, what, of: Some(*of) });
     for r in records {
         match &r.seen {
             Seen::Asked { what, deadline, .. } => {
@@ -264,18 +267,18 @@
                 let Some(t) = tries.get_mut(what) else { continue };
                 t.endings += 1;
                 if t.endings > 1 {
-                    say(r.at, format!("{what:?} got a second final answer, {ending:?}"));
+                    say(what, r.at, format!("{what:?} got a second final answer, {ending:?}"));
                 }
                 let last = t.deadline + figures.answer_slack;
                 if t.began.unwrap_or(r.at) > last {
-                    say(r.at, format!("{what:?} ended {ending:?} after its time was up"));
+                    say(what, r.at, format!("{what:?} ended {ending:?} after its time was up"));
                 }
             }
             Seen::Left(what) => {
                 if let Some(t) = tries.get_mut(what) {
                     t.left = true;
                     if t.endings == 0 && t.began.is_none() && r.at > t.deadline + figures.answer_slack {
-                        say(r.at, format!("{what:?} had no answer when its time was up"));
+                        say(what, r.at, format!("{what:?} had no answer when its time was up"));
                     }
                 }
             }
@@ -292,7 +295,7 @@
         let excused =
             t.left || t.cut.is_some_and(|at| died.iter().any(|&d| d <= at && at <= d + figures.wire));
         if t.endings == 0 && !excused {
-            say(t.deadline, format!("{what:?} got no final answer"));
+            say(what, t.deadline, format!("{what:?} got no final answer"));
         }
     }
 }
@@ -322,10 +325,10 @@
         *times += 1;
         if *times > 1 {
             let what = format!("{what:?} ({effect:?}) ran {times} times, last at {engine}");
-            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what });
+            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what, of: None });
         } else if effect == Effect::Unsafe && refused.contains(what) {
             let what = format!("{what:?} (unsafe) ran at {engine} and was refused as harmless to repeat");
-            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what });
+            breaks.push(Break { rule: Rule::NoEffectTwice, at: r.at, what, of: None });
         }
     }
 }
@@ -347,7 +350,7 @@
                     let what = format!(
                         "{what:?} reached {engine} from {router} long after it was told of the drain"
                     );
-                    breaks.push(Break { rule: Rule::Drains, at: r.at, what });
+                    breaks.push(Break { rule: Rule::Drains, at: r.at, what, of: None });
                 }
             }
             _ => {}
@@ -380,7 +383,7 @@
     let check = |h: &Held, now: Duration, breaks: &mut Vec<Break>| {
         if h.quiet.is_some_and(|since| now > since + most) {
             let what = format!("state of {:?} lay at {} with nothing at work", h.what, h.engine);
-            breaks.push(Break { rule: Rule::Pinned, at: now, what });
+            breaks.push(Break { rule: Rule::Pinned, at: now, what, of: None });
         }
     };
     for r in records {
