--- a/crates/cli/src/ground.rs
+++ b/crates/cli/src/ground.rs
@@ -83,12 +83,11 @@
         });
     }
     let (mut settled, mut detected, mut wrong) = (Vec::new(), Vec::new(), 0);
+    let mut first = 1;
     for n in 0..args.seeds.max(1) {
-        let mut script = read_script(&text, &name).map_err(|faults| Failure::Input(lines(&faults)))?;
-        let first = args.seed.unwrap_or(script.seed);
-        if args.seed.is_some() || n > 0 {
-            script = script.with_seed(first + n);
-        }
+        let seed = (args.seed.is_some() || n > 0).then(|| args.seed.unwrap_or(first) + n);
+        let mut script = read_script(&text, &name, seed).map_err(|faults| Failure::Input(lines(&faults)))?;
+        first = if n == 0 { script.seed } else { first };
         script.draw(args.random);
         let played = if args.memory {
             Some(play_in_memory(&script).map_err(Failure::Run)?)
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A member as a machine: rounds, what it answers, how it joins and leaves, and what it shows.
 
 use crate::count::{self, Own};
-use crate::rival::{self, Rival, Verdict};
+use crate::rival::{self, Claim, Rival, Verdict};
 use crate::sync::{Came, Exchanges};
 use crate::table::{beat_of, size, Learnt, State, Table};
 use crate::view::{Board, MemberView, Standing, View};
@@ -335,7 +335,7 @@
         self.tally.taken += 1;
         let to = self.reach(&message.from);
         if message.from.name == self.me.name {
-            self.rivalled(now, &message.from, Duration::ZERO, out);
+            self.rivalled(now, &message.from, message.round, Duration::ZERO, out);
             if self.standing == Standing::Ready {
                 let me = Beat { life: self.me.id(), round: self.round, age_ms: 0 };
                 let word = self.message(Flags::default(), vec![self.me.clone()], vec![me]);
@@ -358,7 +358,7 @@
         for life in &message.lives {
             let beat = rounds.get(&life.id());
             if life.name == self.me.name {
-                self.told_of_own_name(now, life, beat.map(|b| age(b.age_ms)), out);
+                self.told_of_own_name(now, life, beat.copied(), out);
             } else if let Some(beat) = beat {
                 let learnt = self.table.learn(now, life, beat.round, age(beat.age_ms), by);
                 self.tally.full += u64::from(learnt == Learnt::Full);
@@ -370,7 +370,7 @@
                 self.table.beat(now, beat.life, beat.round, age(beat.age_ms), by);
             } else if let Some(rival) = self.rival.as_ref().filter(|r| r.life.id() == beat.life) {
                 let life = rival.life.clone();
-                self.told_of_own_name(now, &life, Some(age(beat.age_ms)), out);
+                self.told_of_own_name(now, &life, Some(beat), out);
             } else if asks.len() < ASKS && beat.life != self.me.id() && !self.table.is_buried(beat.life) {
                 asks.push(beat.life);
             }
@@ -420,7 +420,7 @@
 
     // ---- One's own name --------------------------------------------------------------------------
 
-    fn told_of_own_name(&mut self, now: Duration, life: &Life, age: Option<Duration>, out: &mut Vec<Output>) {
+    fn told_of_own_name(&mut self, now: Duration, life: &Life, beat: Option<&Beat>, out: &mut Vec<Output>) {
         if life.nonce == self.me.nonce && life.incarnation <= self.me.incarnation {
             let declared = life.left && life.incarnation == self.me.incarnation && self.goodbyes.is_none();
             if declared {
@@ -433,9 +433,12 @@
             }
             return;
         }
-        match (age, life.left) {
-            (Some(age), _) => self.rivalled(now, life, age, out),
-            (None, true) => self.rivalled(now, life, pace::FORGET, out),
+        match (beat, life.left) {
+            (Some(beat), _) => {
+                let age = Duration::from_millis(u64::from(beat.age_ms));
+                self.rivalled(now, life, beat.round, age, out);
+            }
+            (None, true) => self.rivalled(now, life, 0, pace::FORGET, out),
             (None, false) => {}
         }
     }
@@ -447,16 +450,15 @@
         self.keep(now);
     }
 
-    fn rivalled(&mut self, now: Duration, life: &Life, age: Duration, out: &mut Vec<Output>) {
+    fn rivalled(&mut self, now: Duration, life: &Life, round: u32, age: Duration, out: &mut Vec<Output>) {
         if matches!(self.standing, Standing::Yielded | Standing::Left) {
             return;
         }
-        match rival::weigh(now, self.started, &self.me, &mut self.rival, life, age) {
+        let (own, told) = (Claim { life: &self.me, round: self.round }, Claim { life, round });
+        match rival::weigh(now, self.started, own, &mut self.rival, told, age) {
             Verdict::Holds => {
                 let (at, n) = (life.address, life.incarnation);
-                let what = format!(
-                    "another process of this name, incarnation {n} at {at}, is older and is to yield"
-                );
+                let what = format!("another process of this name, incarnation {n} at {at}, is to yield");
                 self.refuse(now, &what, out);
             }
             Verdict::Challenged if self.standing != Standing::Challenged => {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -2,7 +2,8 @@
 //!
 //! The rules of merging are what makes all tables alike without anybody being asked:
 //!
-//! - of two lives of one name the higher (incarnation, nonce) stays, for good;
+//! - of two lives of one name the higher incarnation stays, for good; of one incarnation the one that was known first stays until it is
+//!   gone: which of the two may go on they settle themselves ([`crate::rival`]);
 //! - of two rounds of one life the higher stays, with the time at which it was *first* heard of here, less the age that was told. An equal
 //!   round changes nothing: otherwise the age of a dead member would shrink by the time on the way each time that two tell each other;
 //! - a goodbye is final for its life.
@@ -152,7 +153,7 @@
         let known = self.entries.get(&life.name).map(|e| (e.life.incarnation, e.life.nonce, e.id));
         let (incarnation, nonce) = (life.incarnation, life.nonce);
         match known {
-            Some((i, n, _)) if (i, n) > (incarnation, nonce) => return Learnt::Older,
+            Some((i, ..)) if i > incarnation => return Learnt::Older,
             Some((i, n, id)) if (i, n) == (incarnation, nonce) => {
                 let entry = self.entries.get_mut(&life.name);
                 if let Some(entry) = entry.filter(|e| life.left && !e.life.left) {
@@ -163,6 +164,12 @@
                 }
                 return self.beat(now, id, round, age, by);
             }
+            Some((i, ..)) if i == incarnation => {
+                let free = self.entries.get(&life.name).is_some_and(|e| e.state == State::Gone);
+                if !free || age >= pace::suspect_after(members) {
+                    return Learnt::Older;
+                }
+            }
             None if self.entries.len() >= pace::MEMBERS => return Learnt::Full,
             // Who is long gone is told of by those who have not forgotten it yet; it stays forgotten.
             None if life.left || age >= pace::gone_after(members) => return Learnt::Stale,
--- a/crates/ground/src/history.rs
+++ b/crates/ground/src/history.rs
@@ -123,6 +123,19 @@
         }
     }
 
+    /// Each time that a router began to call another gone: when, who, whom.
+    pub fn gone_calls(&self) -> impl Iterator<Item = (Duration, usize, usize)> + '_ {
+        let mut last: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        self.events.iter().flat_map(move |(at, event)| {
+            let Event::Told(by, Some(sight)) = event else { return Vec::new() };
+            let gone: Vec<usize> =
+                sight.called("gone").filter_map(|name| name.strip_prefix('r')?.parse().ok()).collect();
+            let before = last.insert(*by, gone.clone()).unwrap_or_default();
+            let new = gone.into_iter().filter(|of| !before.contains(of));
+            new.map(|of| (*at, *by, of)).collect()
+        })
+    }
+
     /// Writes it, one JSON object a line.
     ///
     /// # Errors
--- a/crates/ground/src/judge.rs
+++ b/crates/ground/src/judge.rs
@@ -169,6 +169,19 @@
             (false, _) => None,
         };
     }
+    let calls: BTreeSet<(usize, usize)> = history.gone_calls().map(|(_, by, of)| (by, of)).collect();
+    if script.nobody_gone {
+        for (at, by, of) in history.gone_calls() {
+            verdict.wrong.push(format!("{} ms: r{by} calls r{of} gone: expected of nobody", at.as_millis()));
+        }
+    }
+    for &of in &script.gone {
+        for by in (0..n).filter(|by| *by != of && !script.gone.contains(by) && truth.up[*by]) {
+            if !calls.contains(&(by, of)) {
+                verdict.wrong.push(format!("r{by} never called r{of} gone: expected it to"));
+            }
+        }
+    }
     let end = history.events.last().map_or(Duration::ZERO, |(at, _)| *at);
     verdict.settled_in = one_view.map(|at| at.saturating_sub(calm));
     match verdict.settled_in {
--- a/crates/ground/src/run.rs
+++ b/crates/ground/src/run.rs
@@ -114,7 +114,8 @@
     fn steps(&mut self) -> Vec<(Duration, Step)> {
         let mut steps = Vec::new();
         for r in 0..self.script.routers {
-            if self.script.seeds_dead && r < self.script.seeds {
+            let late = |f: &Fault| f.kind == Kind::Late && f.whom.contains(&r);
+            if self.script.seeds_dead && r < self.script.seeds || self.script.faults.iter().any(late) {
                 continue;
             }
             let span = self.script.start.as_millis() as u64;
@@ -236,6 +237,7 @@
                     self.gone(stage, r);
                     self.note(stage, Event::Ended(r));
                 }
+                Kind::Late => self.start(stage, r, false)?,
                 Kind::Leave if up => {
                     stage.leave(r);
                     self.phases[r] = Phase::Down;
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -377,7 +377,8 @@
 fn pinned(records: &[&Record], figures: &Figures, breaks: &mut Vec<Break>) {
     let mut held: BTreeMap<(&str, u64), Held> = BTreeMap::new();
     let mut at_work: BTreeMap<Try, Vec<Place>> = BTreeMap::new();
-    let mut routers: BTreeMap<Try, &str> = BTreeMap::new();
+    let mut routers: BTreeMap<Try, (&str, Duration)> = BTreeMap::new();
+    let mut died: BTreeMap<&str, Duration> = BTreeMap::new();
     let mut apart: BTreeSet<(&str, &str)> = BTreeSet::new();
     let most = figures.let_go + figures.wire;
     let check = |h: &Held, now: Duration, breaks: &mut Vec<Break>| {
@@ -389,7 +390,7 @@
     for r in records {
         let begins = match &r.seen {
             Seen::Arrived { what, engine, router, .. } => {
-                routers.insert(*what, router);
+                routers.insert(*what, (router, r.at));
                 Some((*what, Place::Engine(engine)))
             }
             Seen::OnTheWay { what, way } => Some((*what, Place::Way(*way))),
@@ -418,6 +419,9 @@
             }
         }
         match &r.seen {
+            // A read may end in the moment in which its router dies: what that left is for its engines to free.
+            Seen::Holds { what, .. }
+                if routers.get(what).is_some_and(|(router, sent)| died.get(router) >= Some(sent)) => {}
             Seen::Holds { engine, what, state } => {
                 let quiet = (!at_work.contains_key(what)).then_some(r.at);
                 held.insert((engine, *state), Held { engine, what: *what, quiet });
@@ -432,8 +436,9 @@
                     apart.insert((router, engine));
                 } else {
                     apart.remove(&(router.as_str(), engine.as_str()));
-                    let mine =
-                        |h: &&mut Held| h.engine == engine && routers.get(&h.what) == Some(&router.as_str());
+                    let mine = |h: &&mut Held| {
+                        h.engine == engine && routers.get(&h.what).map(|r| r.0) == Some(router)
+                    };
                     held.values_mut()
                         .filter(mine)
                         .filter(|h| h.quiet.is_some())
@@ -450,12 +455,15 @@
                     !places.is_empty()
                 });
             }
-            Seen::RouterDied(router) => held.retain(|_, h| routers.get(&h.what) != Some(&router.as_str())),
+            Seen::RouterDied(router) => {
+                died.insert(router, r.at);
+                held.retain(|_, h| routers.get(&h.what).map(|r| r.0) != Some(router));
+            }
             _ => {}
         }
         // While its router can't reach the engine, state there waits for the link, not for the router.
         for h in held.values_mut().filter(|h| h.quiet.is_some()) {
-            let router = routers.get(&h.what).copied().unwrap_or_default();
+            let router = routers.get(&h.what).map(|r| r.0).unwrap_or_default();
             if apart.contains(&(router, h.engine)) {
                 h.quiet = Some(r.at);
             }
@@ -541,6 +549,22 @@
         assert_eq!(broken(&[(0, told(true)), (500, told(false)), arrived(2100), over(2101)]), []);
     }
 
+    /// Found on the proving ground: a router was killed while its read ended, and the state was called pinned for ever.
+    #[test]
+    fn what_a_dead_router_asked_for_is_for_its_engine_to_free() {
+        let holds = |at| (at, Seen::Holds { engine: "e".into(), what: T, state: 7 });
+        let died = |at| (at, Seen::RouterDied("r".into()));
+        let end = (9_000, Seen::RunOver);
+        assert_eq!(broken(&[arrived(10), over(20), holds(20), end.clone()]), [Rule::Pinned]);
+        assert_eq!(broken(&[arrived(10), over(20), holds(20), died(21), end.clone()]), []);
+        assert_eq!(broken(&[arrived(10), died(19), over(20), holds(20), end.clone()]), []);
+        assert_eq!(
+            broken(&[died(5), arrived(10), over(20), holds(20), end]),
+            [Rule::Pinned],
+            "another life sent it"
+        );
+    }
+
     #[test]
     fn state_is_pinned_when_nothing_is_at_work() {
         let holds = (100, Seen::Holds { engine: "e".into(), what: T, state: 7 });
