--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -133,7 +133,7 @@
     free: Vec<usize>,
     /// Machines' outputs to carry out.
     todo: VecDeque<(usize, Output)>,
-    dirty: Vec<usize>,
+    dirty: VecDeque<usize>,
     /// Finished connections that wait for their peers, by when, with the use of the slot.
     lingering: VecDeque<(Duration, usize, u32)>,
     /// The slots of listeners.
@@ -188,7 +188,7 @@
             uses: Vec::new(),
             free: Vec::new(),
             todo: VecDeque::new(),
-            dirty: Vec::new(),
+            dirty: VecDeque::new(),
             lingering: VecDeque::new(),
             doors: Vec::new(),
             busy: false,
@@ -653,18 +653,20 @@
         if std::mem::replace(&mut self.busy, true) {
             return;
         }
-        while let Some((node, output)) = self.todo.pop_front() {
-            self.carry_out(node, output);
-            if self.todo.is_empty() {
-                for slot in std::mem::take(&mut self.dirty) {
-                    if let Slot::Conn(c) = &mut self.slots[slot] {
-                        c.dirty = false;
-                        if matches!(c.phase, Phase::Finishing(_)) {
-                            self.linger(slot);
-                        } else {
-                            self.flush(slot);
-                        }
-                    }
+        loop {
+            if let Some((node, output)) = self.todo.pop_front() {
+                self.carry_out(node, output);
+                continue;
+            }
+            // One at a time: what the machine asks for on hearing that one was sent comes before the next goes out. Else a
+            // connection given up by that word, with its request told as never sent, would still send it.
+            let Some(slot) = self.dirty.pop_front() else { break };
+            if let Slot::Conn(c) = &mut self.slots[slot] {
+                c.dirty = false;
+                if matches!(c.phase, Phase::Finishing(_)) {
+                    self.linger(slot);
+                } else {
+                    self.flush(slot);
                 }
             }
         }
@@ -732,7 +734,7 @@
         let Some(&slot) = self.nodes[node].by_id.get(&id) else { return };
         let Slot::Conn(conn) = &mut self.slots[slot] else { return };
         if change(conn) && !std::mem::replace(&mut conn.dirty, true) {
-            self.dirty.push(slot);
+            self.dirty.push_back(slot);
         }
     }
 
