Fleet: a message tells the latest rounds first, not those taken up last

Seen in virtual time: 500 members without loss, 28 false alarms in 30 s. A beat that came late is taken up now and may be seconds old; sorted by when it was taken, such beats filled the half of a message that is meant for news. Hard cases in virtual time hold (22).

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -51,8 +51,6 @@
     pub round: u32,
     /// When that round was first heard of here, less its age then.
     pub heard: Duration,
-    /// When it was taken up here: what is new goes out first.
-    taken: Duration,
     /// The state as it was last worked out.
     pub state: State,
     /// Since when.
@@ -188,7 +186,6 @@
             life: life.clone(),
             round,
             heard: now.saturating_sub(age),
-            taken: now,
             // Worked out with the next look, which tells of the change.
             state: before.unwrap_or(State::Alive),
             since: now,
@@ -221,7 +218,6 @@
         entry.round = round;
         // Never back: a later round may come by a slower way.
         entry.heard = entry.heard.max(now.saturating_sub(age));
-        entry.taken = now;
         by.clone_into(&mut entry.by);
         Learnt::Further
     }
@@ -305,7 +301,7 @@
         hash.digest()
     }
 
-    /// What goes into a message of at most `room` bytes: lives that are news, then how far lives had come, what was taken up last
+    /// What goes into a message of at most `room` bytes: lives that are news, then how far lives had come, the latest rounds
     /// first in one half and by lot in the other, so that in a large fleet nobody's rounds wait for long.
     pub fn tell(
         &mut self, now: Duration, room: usize, mut lot: impl FnMut(usize) -> usize,
@@ -328,7 +324,7 @@
         if rest.len() > fits {
             let newest = fits / 2;
             if newest > 0 {
-                rest.select_nth_unstable_by_key(newest, |e| std::cmp::Reverse(e.taken));
+                rest.select_nth_unstable_by_key(newest, |e| std::cmp::Reverse(e.heard));
             }
             for at in newest..fits {
                 let with = at + lot(rest.len() - at);
