Fleet: of two young processes of one name one yields; the holder now tells the other

Seen with processes (twin, started 4.7 s after the first): the second one neither yielded nor did the first. History and logs: the second held the name by its nonce, as both were within 25 rounds, and logged that the first is to yield; the first never heard of it, since the others keep to the life that they knew first and their book leads to that one. To blame: rivalled() in fleet.rs on Verdict::Holds. Now the holder tells the other where it says that it is, once a round.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -80,6 +80,8 @@
     standing: Standing,
     table: Table,
     rival: Option<Rival>,
+    /// When another process of this name was last told to yield.
+    rival_told: Option<Duration>,
     exchanges: Exchanges,
     rng: Xoshiro256PlusPlus,
     board: Arc<Board>,
@@ -126,6 +128,7 @@
             standing: Standing::Joining,
             table: Table::default(),
             rival: None,
+            rival_told: None,
             exchanges: Exchanges::default(),
             rng,
             board,
@@ -335,13 +338,7 @@
         self.tally.taken += 1;
         let to = self.reach(&message.from);
         if message.from.name == self.me.name {
-            self.rivalled(now, &message.from, message.round, Duration::ZERO, out);
-            if self.standing == Standing::Ready {
-                let me = Beat { life: self.me.id(), round: self.round, age_ms: 0 };
-                let word = self.message(Flags::default(), vec![self.me.clone()], vec![me]);
-                self.send(message.from.address, &word, out);
-            }
-            return;
+            return self.rivalled(now, &message.from, message.round, Duration::ZERO, out);
         }
         let by = &message.from.name;
         let age = |ms: u32| Duration::from_millis(u64::from(ms));
@@ -460,6 +457,16 @@
                 let (at, n) = (life.address, life.incarnation);
                 let what = format!("another process of this name, incarnation {n} at {at}, is to yield");
                 self.refuse(now, &what, out);
+                // It hears of this one from nobody else: the others keep to the life that they knew first, and their book leads
+                // to that one. Untold, both of two that started at about one time went on. Once a round, as two that
+                // both hold the name for a while would answer each other without end.
+                let due = self.rival_told.is_none_or(|told| now >= told + pace::ROUND);
+                if self.standing == Standing::Ready && !life.left && at != self.me.address && due {
+                    self.rival_told = Some(now);
+                    let me = Beat { life: self.me.id(), round: self.round, age_ms: 0 };
+                    let word = self.message(Flags::default(), vec![self.me.clone()], vec![me]);
+                    self.send(at, &word, out);
+                }
             }
             Verdict::Challenged if self.standing != Standing::Challenged => {
                 self.standing = Standing::Challenged;
--- a/crates/ground/tests/hard_cases.rs
+++ b/crates/ground/tests/hard_cases.rs
@@ -44,6 +44,7 @@
     seven_of_ten_die "seven" 1..4;
     ten_join_and_ten_leave "join-leave" 1..3;
     a_name_used_twice "twin" 1..8;
+    a_name_used_twice_from_the_start "twin-young" 8..15;
     noise "noise" 1..3;
     seeds_and_book_change "reload" 1..3;
     peers_that_trickle_or_never_answer "slow-peers" 1..3;
