Node: a last byte that was handed over is no proof any more that nothing ran

Looked at with a probe that logs each second write of an unsafe request with the story of the first (ten soaks, some 250 second writes): all but nine followed a reset while the last byte was still held back in this process, the rest were 503 with X-Not-Run; no id was taken twice, no stray answer, no read that ran as a write. One differed: a reset 0.38 ms after the held byte's time, with that byte handed to the driver and not yet told as sent, and called as never run. Resets that follow a piece come within 0.9 ms of it (measured), so that one followed the last byte: it may have arrived although its write failed. To blame: loss_outcome() and cancel(), which took unsent > 0 as proof. Now, of a request that takes care, only a byte that is still held back is proof. Not shown: that this was the duplicate itself, which has not come again in these runs. The test fails without the change. Cost: one write in some four soaks fails that could go elsewhere.

--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -143,7 +143,7 @@
             return;
         }
         let Some(conn) = call.attempts.get(attempt).filter(|a| a.out).and_then(|a| a.conn) else { return };
-        let unsent = self.links.get(&conn).is_some_and(|l| l.state == State::Connecting || l.unsent > 0);
+        let unsent = self.links.get(&conn).is_some_and(Link::not_whole);
         self.drop_link(conn, if unsent { Outcome::Moot } else { Outcome::Cancelled }, out);
     }
 
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -162,6 +162,16 @@
         self.state == State::Busy && !self.pending.is_empty()
     }
 
+    /// Whether its request can't have come whole to the engine. One that takes care gives proof only while its last byte is
+    /// held back here: a write of that byte that fails is no proof that it did not arrive. Guards against an unsafe request
+    /// sent again after a peer reset the connection in the very moment of that write.
+    pub(crate) fn not_whole(&self) -> bool {
+        match self.care {
+            Care::None => self.state == State::Connecting || self.unsent > 0,
+            Care::HoldBack | Care::Once => self.state == State::Connecting || self.holds_back(),
+        }
+    }
+
     /// Takes bytes; appends what they said. Nothing more is to be fed after `Spoilt`.
     pub(crate) fn feed(&mut self, bytes: &[u8], layout: &Layout, said: &mut Vec<Said>) {
         self.decoder.feed(bytes);
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -529,7 +529,7 @@
         Loss::Exhausted => Outcome::Moot,
         // It stood, so its engine could be reached: told as a failure to connect, each such reset would have the engine
         // left alone for a second.
-        Loss::Reset if link.unsent > 0 => Outcome::Moot,
+        Loss::Reset if link.not_whole() => Outcome::Moot,
         Loss::Reset => Outcome::Reset,
     }
 }
--- a/crates/platform/tests/requests.rs
+++ b/crates/platform/tests/requests.rs
@@ -131,6 +131,24 @@
     }
 }
 
+#[test]
+fn an_unsafe_request_whose_last_byte_was_handed_over_may_have_run() {
+    // The write of the last byte fails, or its peer ends the connection then: it may have arrived.
+    for end in [lost as fn(ConnId, Loss) -> Input<'static>, |conn, _| Input::Eof(conn)] {
+        let mut host = Host::new();
+        let client = host.client();
+        let out = host.data(client, request("once", "2"));
+        let reader = opened(&out)[0].0;
+        host.connected(reader);
+        let out = host.data(reader, READ);
+        let writer = opened(&out)[0].0;
+        host.connected(writer);
+        assert!(text(&host.pass(ms(4)), writer).ends_with('}'), "the last byte goes out");
+        let out = host.tell(end(writer, Loss::Reset));
+        assert_eq!(status(&out, client), Some(502), "it is not sent again, and not told to be harmless");
+    }
+}
+
 #[test]
 fn a_connection_that_does_not_come_up_is_given_up_at_the_sites_time() {
     let mut host = Host::new();
