--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -119,11 +119,12 @@
     for m in members(view) {
         let since = Duration::from_millis(m["since_ms"].as_u64().unwrap_or(0) / 100 * 100);
         println!(
-            "{:widest$}  {:8}  {:>11}  {:21}  {since:?}",
+            "{:widest$}  {:8}  {:>11}  {:21}  {since:?}{}",
             text(m, "name"),
             text(m, "state"),
             m["incarnation"].to_string(),
-            text(m, "address")
+            text(m, "address"),
+            if m["left"] == true { ", left in order" } else { "" }
         );
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -34,6 +34,9 @@
         /// The settings, INI.
         #[arg(long)]
         config: PathBuf,
+        /// End at once when standard input ends: for programs that start many and may be killed.
+        #[arg(long)]
+        until_input_ends: bool,
     },
     /// Run a router on the platform: started by its variables and its configuration file (`LB_CONFIG`).
     Node,
@@ -104,7 +107,7 @@
 
 fn main() -> ExitCode {
     let outcome = match Cli::parse().command {
-        Command::Serve { config } => serve::run(&config),
+        Command::Serve { config, until_input_ends } => serve::run(&config, until_input_ends),
         Command::Node => node::run(),
         Command::Check { file } => check(&file),
         Command::Standin(args) => engine::run(&args),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -41,7 +41,18 @@
     rand::random()
 }
 
-pub(crate) fn run(config: &Path) -> Outcome {
+/// Ends the process as a kill would when whoever started it is there no more: its end of the pipe closes with it.
+fn end_with_input() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        std::process::exit(1);
+    });
+}
+
+pub(crate) fn run(config: &Path, until_input_ends: bool) -> Outcome {
+    if until_input_ends {
+        end_with_input();
+    }
     let mut daemon = read_settings(config)?;
     logs::start(daemon.log_format, &daemon.log_level);
     let signals = Signals::watch()?;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -73,6 +73,8 @@
     incarnation: u64,
     state: State,
     since_ms: u128,
+    /// It said goodbye, or was declared gone by an operator.
+    left: bool,
 }
 
 impl View {
@@ -87,6 +89,7 @@
                 incarnation: m.incarnation,
                 state: m.state,
                 since_ms: now.saturating_sub(m.since).as_millis(),
+                left: m.left,
             })
             .collect();
         let shown = serde_json::json!({
--- a/crates/ground/src/processes.rs
+++ b/crates/ground/src/processes.rs
@@ -144,9 +144,10 @@
     fn spawn(&self, home: &Path) -> std::io::Result<Process> {
         let log = std::fs::File::options().create(true).append(true).open(home.join("log"))?;
         let child = Command::new(self.program)
-            .args(["serve", "--config"])
+            .args(["serve", "--until-input-ends", "--config"])
             .arg(home.join("settings.ini"))
-            .stdin(Stdio::null())
+            // Held by this process: the routers end with it even if it is killed.
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
