--- a/crates/ground/tests/hard_cases.rs
+++ b/crates/ground/tests/hard_cases.rs
@@ -46,6 +46,7 @@
     seven_die_for_good "long-crash" 1..2;
     four_die_for_good "long-loss" 1..2;
     ten_join_and_ten_leave "join-leave" 1..3;
+    thirty_with_faults_by_seed "thirty" 1..3;
     a_name_used_twice "twin" 1..8;
     a_name_used_twice_from_the_start "twin-young" 8..15;
     noise "noise" 1..3;
