Fleet: a process stopped while challenged no longer takes the name from one that runs

Seen on reading, then with processes: a second process of a name, challenged, SIGSTOP for 6 s, SIGCONT: it took the next incarnation and the router that served yielded. To blame: mind_the_gap() in fleet.rs, which let the gap count as silence of the rival. Now the gap is added for the rival as for all others; the same acts leave the first ready and the second yielded. The test fails without it. Nothing that node runs is touched.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -511,6 +511,10 @@
         self.seen = now;
         if gap >= pace::ASLEEP {
             self.table.slept(gap);
+            // Nor does it prove that a rival is dead: a challenged process that was stopped would take the name from one that runs.
+            if let Some(rival) = &mut self.rival {
+                rival.heard += gap;
+            }
             self.changed = now;
             out.push(Output::Log(format!("fleet: did not run for {} ms", gap.as_millis())));
         }
