--- a/crates/accord/src/board.rs
+++ b/crates/accord/src/board.rs
@@ -6,6 +6,7 @@
 use crate::wire::Word;
 use arc_swap::ArcSwap;
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -72,6 +73,7 @@
 /// Readers never wait for the writer.
 #[derive(Default)]
 pub struct Board {
+    epoch: AtomicU64,
     permit: ArcSwap<Permit>,
     shown: ArcSwap<Shown>,
     words: Mutex<VecDeque<Word>>,
@@ -89,6 +91,11 @@
         self.permit.load_full()
     }
 
+    /// The epoch of the permit.
+    pub fn epoch(&self) -> u64 {
+        self.epoch.load(Ordering::Acquire)
+    }
+
     /// What operators see.
     pub fn shown(&self) -> Arc<Shown> {
         self.shown.load_full()
@@ -110,7 +117,9 @@
     }
 
     pub(crate) fn allow(&self, permit: Permit) {
+        let epoch = permit.epoch;
         self.permit.store(Arc::new(permit));
+        self.epoch.store(epoch, Ordering::Release);
     }
 
     pub(crate) fn show(&self, shown: Shown) {
--- /dev/null
+++ b/crates/cli/src/disk.rs
@@ -0,0 +1,71 @@
+//! The file in which a voter keeps what it must not forget: appended and synced, or put in place whole.
+
+use slipreel_accord::Disk;
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// The file's name in the folder of `[fleet]`.
+const NAME: &str = "accord";
+
+/// A voter's file.
+pub(crate) struct Folder {
+    folder: PathBuf,
+    file: Option<File>,
+}
+
+impl Folder {
+    pub(crate) fn new(folder: &Path) -> Folder {
+        Folder { folder: folder.to_owned(), file: None }
+    }
+
+    /// What stands there; nothing if there is none.
+    pub(crate) fn read(folder: &Path) -> std::io::Result<Vec<u8>> {
+        match std::fs::read(folder.join(NAME)) {
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Vec::new()),
+            other => other,
+        }
+    }
+
+    fn try_append(&mut self, bytes: &[u8], sync: bool) -> std::io::Result<()> {
+        // A file that was removed under a running router takes writes that nobody will find.
+        if !self.folder.join(NAME).exists() {
+            return Err(std::io::Error::other(format!("{}/{NAME} is not there any more", self.folder.display())));
+        }
+        if self.file.is_none() {
+            self.file = Some(File::options().append(true).open(self.folder.join(NAME))?);
+        }
+        let Some(file) = &mut self.file else { return Ok(()) };
+        file.write_all(bytes)?;
+        if sync {
+            file.sync_data()?;
+        }
+        Ok(())
+    }
+
+    fn try_replace(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.file = None;
+        std::fs::create_dir_all(&self.folder)?;
+        let new = self.folder.join(format!("{NAME}.new"));
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        drop(file);
+        std::fs::rename(&new, self.folder.join(NAME))?;
+        File::open(&self.folder)?.sync_all()
+    }
+}
+
+impl Disk for Folder {
+    fn append(&mut self, bytes: &[u8], sync: bool) -> Result<(), String> {
+        let result = self.try_append(bytes, sync);
+        if result.is_err() {
+            self.file = None;
+        }
+        result.map_err(|e| e.to_string())
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.try_replace(bytes).map_err(|e| e.to_string())
+    }
+}
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -51,6 +51,16 @@
         #[command(flatten)]
         at: At,
     },
+    /// A voter on the policy is gone for good: another router votes in its place.
+    Replace {
+        /// Its name.
+        old: String,
+        /// Who takes its place; if it is not said, the one that has been there longest.
+        #[arg(long)]
+        with: Option<String>,
+        #[command(flatten)]
+        at: At,
+    },
     /// A member is gone for good: it does not count any more. If it runs, it comes back by itself.
     Forget {
         /// Its name.
@@ -62,11 +72,16 @@
 
 /// Asks an operators' port; gives status and body.
 pub(crate) fn ask(at: SocketAddr, method: &str, path: &str) -> std::io::Result<(u16, String)> {
+    ask_with(at, method, path, "")
+}
+
+/// The same with something to say.
+pub(crate) fn ask_with(at: SocketAddr, method: &str, path: &str, said: &str) -> std::io::Result<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&at, ANSWER)?;
     stream.set_read_timeout(Some(ANSWER))?;
     stream.set_write_timeout(Some(ANSWER))?;
     let head =
-        format!("{method} {path} HTTP/1.1\r\nhost: {at}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+        format!("{method} {path} HTTP/1.1\r\nhost: {at}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{said}", said.len());
     stream.write_all(head.as_bytes())?;
     let mut text = String::new();
     stream.take(LONGEST).read_to_string(&mut text)?;
@@ -168,6 +183,7 @@
                     .for_each(|k| println!("{ms} ms: {k}: not listed any more"));
                 known = now;
             }
+            Err(Failure::Code(_)) => {}
             Err(Failure::Run(why) | Failure::Input(why)) => {
                 if !std::mem::replace(&mut silent, true) {
                     println!("{ms} ms: {why}");
@@ -188,6 +204,11 @@
             need(at.at, "POST", "/fleet/leave")?;
             println!("{}: says goodbye", at.at);
         }
+        What::Replace { old, with, at } => {
+            let with = with.as_ref().map(|w| format!("/{w}")).unwrap_or_default();
+            need(at.at, "POST", &format!("/policy/replace/{old}{with}"))?;
+            println!("{old}: another takes its vote; `slipreel policy status` shows who votes");
+        }
         What::Forget { name, at } => {
             need(at.at, "POST", &format!("/fleet/forget/{name}"))?;
             println!("{name}: declared gone");
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+mod disk;
 mod engine;
 mod fleet;
 mod ground;
@@ -11,6 +12,7 @@
 mod member;
 mod model;
 mod node;
+mod policy;
 mod roles;
 mod serve;
 mod signals;
@@ -59,6 +61,8 @@
     Ground(ground::Args),
     /// See who is in the fleet of a running router, follow changes, say goodbye.
     Fleet(fleet::Args),
+    /// See and change the policy that a fleet has agreed on.
+    Policy(policy::Args),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -72,6 +76,8 @@
     Input(String),
     /// It did not work, or a rule broke; exit code 1.
     Run(String),
+    /// It was said what came of it; this exit code says it, too.
+    Code(u8),
 }
 
 pub(crate) type Outcome = Result<(), Failure>;
@@ -116,6 +122,7 @@
         Command::Model(args) => model::run(&args),
         Command::Roles(args) => roles::run(&args),
         Command::Fleet(args) => fleet::run(&args),
+        Command::Policy(args) => policy::run(&args),
         Command::Ground(args) => ground::run(&args),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "slipreel", &mut std::io::stdout());
@@ -132,5 +139,6 @@
             eprintln!("slipreel: {why}");
             ExitCode::FAILURE
         }
+        Err(Failure::Code(code)) => ExitCode::from(code),
     }
 }
--- a/crates/cli/src/member.rs
+++ b/crates/cli/src/member.rs
@@ -1,23 +1,119 @@
 //! `serve` as a member of a fleet: a thread of its own keeps the view, this side keeps the folder and passes on what follows.
 
 use crate::{lines, Failure};
+use crate::disk::Folder;
+use slipreel_accord::{Accord, Board as PolicyBoard, ByView, Disk, Made, Member as Machine, Start, Try};
 use slipreel_fleet::{Board, Fleet, Kept, Peers, Settings};
 use slipreel_front::{Front, Sharing};
 use slipreel_net::{Clock, Command, Handle, Loop, NodeId};
-use slipreel_settings::{Daemon, FleetSite};
+use slipreel_settings::{changes, join, policy_of, Daemon, FleetSite};
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Least time between two writes of the folder, whatever changes.
 const WRITE: Duration = Duration::from_secs(1);
 
+/// This process's part in the policy that the fleet agrees on.
+struct Policy {
+    board: Arc<PolicyBoard>,
+    /// The router's own file as it was last read well: a policy is tried together with it.
+    own: Arc<Mutex<String>>,
+    file: String,
+    /// The epoch that was last told of.
+    told: u64,
+}
+
+impl Policy {
+    fn own(&self) -> String {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Says which keys of this router's file differ from the policy in force, when another one is.
+    fn look(&mut self) {
+        let shown = self.board.shown();
+        if shown.epoch == self.told {
+            return;
+        }
+        self.told = shown.epoch;
+        let Ok(own) = policy_of(&self.own(), &self.file) else { return };
+        for change in changes(&own.text, &shown.text).unwrap_or_default().iter().take(DIFFERENCES) {
+            tracing::info!(epoch = shown.epoch, "the policy in force, not this router's file, holds: {change}");
+        }
+    }
+}
+
+/// Lines about what a file has otherwise than the policy in force.
+const DIFFERENCES: usize = 16;
+
+/// A disk for a router without a folder: it does not vote, and nothing is kept.
+struct NoDisk;
+
+impl Disk for NoDisk {
+    fn append(&mut self, _: &[u8], _: bool) -> Result<(), String> {
+        Ok(())
+    }
+    fn replace(&mut self, _: &[u8]) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+/// What a router needs to take part in the policy, where its settings want that.
+fn accord(
+    site: &FleetSite, name: &str, config: &Path, clock: Clock, view: &Arc<Board>,
+) -> Result<Option<(Accord, Policy)>, Failure> {
+    if site.founders.is_empty() {
+        return Ok(None);
+    }
+    let file = config.display().to_string();
+    let text = std::fs::read_to_string(config).map_err(|e| Failure::Input(format!("{file}: {e}")))?;
+    let policy = policy_of(&text, &file).map_err(|faults| Failure::Input(lines(&faults)))?;
+    let own = Arc::new(Mutex::new(text));
+    let board = Arc::new(PolicyBoard::default());
+    let settings = slipreel_accord::Settings {
+        fleet: site.fleet.clone(),
+        name: name.to_owned(),
+        founders: site.founders.clone(),
+        policy: policy.text,
+        cut: site.cut,
+        datagram: site.datagram,
+    };
+    let (of, with) = (file.clone(), own.clone());
+    let attempt: Try = Box::new(move |policy: &str| {
+        let own = with.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        match join(&own, &of, policy) {
+            Ok(daemon) => Ok(Arc::new(daemon.site) as Made),
+            Err(faults) => Err(lines(&faults)),
+        }
+    });
+    let (found, disk): (_, Box<dyn Disk>) = match &site.folder {
+        None => (None, Box::new(NoDisk)),
+        Some(folder) => {
+            let stands = Folder::read(folder).map_err(|e| Failure::Run(format!("{}: {e}", folder.display())))?;
+            (Some(slipreel_accord::shelf::read(&stands)), Box::new(Folder::new(folder)))
+        }
+    };
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let start = Start {
+        found,
+        disk,
+        attempt,
+        others: Box::new(ByView(view.clone())),
+        seed: rand::random(),
+        wall_ahead: wall.saturating_sub(clock.now()),
+        board: board.clone(),
+    };
+    let accord = Accord::new(settings, start, clock.now());
+    Ok(Some((accord, Policy { board, own, file, told: 0 })))
+}
+
 /// The member of this process.
 pub(crate) struct Member {
     board: Arc<Board>,
-    handle: Handle<Fleet>,
+    handle: Handle<Machine>,
+    policy: Option<Policy>,
     thread: JoinHandle<()>,
     site: FleetSite,
     peers: Peers,
@@ -72,7 +168,7 @@
 
 impl Member {
     /// Starts it, where the settings have a section `[fleet]`. What outlives the process is written before anybody hears of it.
-    pub(crate) fn start(daemon: &Daemon, clock: Clock) -> Result<Option<Member>, Failure> {
+    pub(crate) fn start(daemon: &Daemon, config: &Path, clock: Clock) -> Result<Option<Member>, Failure> {
         let Some(site) = daemon.fleet.clone() else { return Ok(None) };
         let run = |e: std::io::Error| Failure::Run(e.to_string());
         let peers = peers(&site)?;
@@ -88,6 +184,8 @@
         let before = read_kept(site.folder.as_deref());
         let machine =
             Fleet::new(settings, peers.clone(), &before, rand::random(), clock.now(), board.clone());
+        let (accord, policy) = accord(&site, &daemon.site.name, config, clock, &board)?.unzip();
+        let machine = Machine::new(machine, accord);
         let mut looped = Loop::new(clock).map_err(run)?;
         looped.on_log(|_, line| tracing::info!("{line}"));
         let node = looped.add(machine);
@@ -105,6 +203,7 @@
             routers: daemon.site.settings.routers,
             board,
             handle,
+            policy,
             thread: std::thread::spawn(|| {}),
         };
         member.write();
@@ -124,11 +223,38 @@
         handles.iter().for_each(|h| {
             h.tell(Command::News(NodeId(0), board.clone()));
             h.tell(Command::News(NodeId(0), Arc::new(Sharing(self.board.view().routers))));
+            if let Some(policy) = &self.policy {
+                let board: Arc<Arc<PolicyBoard>> = Arc::new(policy.board.clone());
+                h.tell(Command::News(NodeId(0), board));
+            }
         });
     }
 
+    /// The settings of a file that is read again, with the policy in force in place of its own; `None`: the file's own policy holds.
+    pub(crate) fn with_policy_in_force(&self, config: &Path) -> Option<Result<Daemon, String>> {
+        let policy = self.policy.as_ref()?;
+        let shown = policy.board.shown();
+        let text = match std::fs::read_to_string(config) {
+            Ok(text) => text,
+            Err(e) => return Some(Err(e.to_string())),
+        };
+        if shown.epoch == 0 {
+            return None;
+        }
+        Some(match join(&text, &policy.file, &shown.text) {
+            Ok(daemon) => {
+                *policy.own.lock().unwrap_or_else(PoisonError::into_inner) = text;
+                Ok(daemon)
+            }
+            Err(faults) => Err(lines(&faults)),
+        })
+    }
+
     /// Looks at what has changed: the view, what is to be kept, the book.
     pub(crate) fn look(&mut self, handles: &[Handle<Front>]) {
+        if let Some(policy) = &mut self.policy {
+            policy.look();
+        }
         let routers = self.board.view().routers;
         if routers != std::mem::replace(&mut self.routers, routers) {
             tracing::info!(routers, "the fleet counts another number of routers");
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -62,6 +62,7 @@
                 Ok(config) => {
                     handle.tell(Command::News(node, Arc::new(config)));
                 }
+                Err(Failure::Code(_)) => {}
                 Err(Failure::Input(why) | Failure::Run(why)) => {
                     tracing::warn!(why, "the configuration can't be read; it stays as it was");
                 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -66,7 +66,7 @@
         watched.last = text;
     }
     let clock = Clock::start();
-    let mut member = Member::start(&daemon, clock)?;
+    let mut member = Member::start(&daemon, config, clock)?;
     let (handles, threads) = start(&daemon, clock)?;
     if let Some(member) = &member {
         member.introduce(&handles);
@@ -151,7 +151,18 @@
             tracing::warn!(why, "settings can't be read; they stay as they were");
             return;
         }
+        Err(Failure::Code(_)) => return,
     };
+    // Where the fleet agrees on the policy, a file says what is the router's own, and the policy in force stays.
+    if let Some(joined) = member.as_ref().and_then(|m| m.with_policy_in_force(config)) {
+        match joined {
+            Ok(joined) => new = joined,
+            Err(why) => {
+                tracing::warn!(why, "settings can't be read; they stay as they were");
+                return;
+            }
+        }
+    }
     let fixed = |d: &Daemon| (d.listen, d.operators, d.threads);
     if fixed(&new) != fixed(daemon) || new.engines_file != daemon.engines_file {
         tracing::warn!("listen, operators, threads and engines of [router] change with a restart only");
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -1,5 +1,6 @@
 //! One request that was taken: who asked, its attempts, the state held for it, and its one final answer.
 
+use crate::site::Site;
 use crate::translate::Writer;
 use serde_json::{Map, Value};
 use slipreel::{Effect, EngineId, Outcome, RequestId, Role};
@@ -7,8 +8,12 @@
 use slipreel_protocol::engine;
 use slipreel_protocol::http::{self, Framing};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// The field that names the epoch by which a request was taken, on its answer and on each call to an engine.
+pub const POLICY: &str = "x-slipreel-policy";
+
 /// How a request ended. Each that was taken has exactly one of these, unless its client left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Final {
@@ -39,7 +44,10 @@
     pub(crate) generation: u64,
     pub(crate) client: ConnId,
     pub(crate) request_id: String,
-    /// Position of its class.
+    /// The settings by which it was taken, and the epoch of their policy, where the fleet has agreed on one.
+    pub(crate) site: Arc<Site>,
+    pub(crate) epoch: Option<u64>,
+    /// Position of its class in them.
     pub(crate) class: usize,
     pub(crate) effect: Effect,
     pub(crate) stream: bool,
@@ -74,6 +82,8 @@
     pub(crate) generation: u64,
     pub(crate) client: ConnId,
     pub(crate) request_id: String,
+    pub(crate) site: Arc<Site>,
+    pub(crate) epoch: Option<u64>,
     pub(crate) class: usize,
     pub(crate) effect: Effect,
     pub(crate) stream: bool,
@@ -93,6 +103,8 @@
             id: new.id,
             generation: new.generation,
             client: new.client,
+            site: new.site,
+            epoch: new.epoch,
             class: new.class,
             effect: new.effect,
             stream: new.stream,
@@ -139,12 +151,21 @@
         if matches!(self.effect, Effect::Keyed { .. }) {
             fields.push(("idempotency-key", self.key.as_str()));
         }
+        let epoch = self.epoch.map(|e| e.to_string());
+        if let Some(epoch) = &epoch {
+            fields.push((POLICY, epoch.as_str()));
+        }
         let mut bytes =
             http::request_head("POST", "/v1/chat/completions", &fields, Framing::Length(body.len()));
         bytes.extend_from_slice(body.as_bytes());
         (attempt, bytes)
     }
 
+    /// The name of its class.
+    pub(crate) fn class_name(&self) -> &str {
+        self.site.classes.get(self.class).map_or("", |c| &c.name)
+    }
+
     /// What an engine knows an attempt by.
     pub(crate) fn attempt_name(&self, attempt: usize) -> String {
         format!("{}-{attempt}", self.request_id)
--- a/crates/front/src/carry.rs
+++ b/crates/front/src/carry.rs
@@ -224,8 +224,7 @@
         if let Some(call) = self.calls.get_mut(&id) {
             call.over = true;
             self.reap.push(id);
-            let class = call.class;
-            self.gauges.ended(self.class_name(class), end);
+            self.gauges.ended(call.class_name(), end);
             self.count(end);
         }
     }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -112,8 +112,7 @@
                     if let Some(call) = self.calls.get_mut(&id) {
                         call.has_read(attempt, transfer, usage);
                         let tokens = usage.prompt_tokens.saturating_sub(usage.cached_tokens());
-                        let class = call.class;
-                        self.gauges.read(self.class_name(class), tokens);
+                        self.gauges.read(call.class_name(), tokens);
                     }
                     self.ended(id, attempt, Outcome::Read, usage.cached_tokens() as f64, load);
                 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -6,7 +6,8 @@
 use crate::link::{Link, State as LinkState, Use};
 use crate::members::Members;
 use crate::site::{EngineSite, Site};
-use slipreel::{Action, EngineId, Event, Listing, RequestId, Router, TimerId};
+use slipreel::{Action, EngineId, EngineState, Event, Listing, RequestId, Router, TimerId};
+use slipreel_accord::Board as PolicyBoard;
 use slipreel_fleet::{Board, Standing};
 use slipreel_links::{Client, Due, LetGo, Pool, State as ClientState, Wheel};
 use slipreel_machine::{ConnId, Input, Loss, Machine, Output};
@@ -96,6 +97,11 @@
     pub(crate) gauges: Gauges,
     /// The view of the fleet, where this process is a member of one.
     pub(crate) fleet: Option<Arc<Board>>,
+    /// The fleet's policy, where this process takes part in agreeing on one, and the epoch that this front acts by.
+    pub(crate) policy: Option<Arc<PolicyBoard>>,
+    pub(crate) acts_by: u64,
+    /// Engines as they were listed, whoever is taken out.
+    pub(crate) listed: Vec<EngineSite>,
     /// Routers to reckon with by that view; it holds for settings that are read again too.
     routers: Option<u32>,
 }
@@ -128,11 +134,15 @@
             tally: Tally::default(),
             gauges: Gauges::default(),
             fleet: None,
+            policy: None,
+            acts_by: 0,
+            listed: site.engines.clone(),
             routers: None,
             site: site.clone(),
         };
         front.add_brain(site.clone());
-        let (event, _) = front.members.replace(now, &site.engines);
+        let list = front.without_taken_out();
+        let (event, _) = front.members.replace(now, &list);
         // A router comes up with the list that it is given, which may be old.
         if let Event::Engines { engines, .. } = event {
             front.events.push_back((None, Event::Engines { listing: Listing::Cached, engines }));
@@ -152,14 +162,20 @@
 
     fn add_brain(&mut self, site: Arc<Site>) {
         let generation = self.brains.last().map_or(0, |b| b.generation + 1);
-        let mut settings = site.settings.clone();
-        settings.zone = self.members.zone(&site.zone);
-        settings.routers = self.routers.unwrap_or(settings.routers);
+        let settings = self.settings_of(&site);
         let router = Router::new(settings, self.seed.wrapping_add(generation));
         self.brains.push(Brain { generation, router });
         self.site = site;
     }
 
+    /// A site's settings as the module is handed them here.
+    pub(crate) fn settings_of(&mut self, site: &Site) -> slipreel::Settings {
+        let mut settings = site.settings.clone();
+        settings.zone = self.members.zone(&site.zone);
+        settings.routers = self.routers.unwrap_or(settings.routers);
+        settings
+    }
+
     /// The view reckons with another number of routers: all that was learnt stays.
     fn share_with(&mut self, routers: Sharing) {
         self.routers = Some(routers.0);
@@ -203,11 +219,16 @@
         while let Some((to, event)) = self.events.pop_front() {
             for at in 0..self.brains.len() {
                 let generation = self.brains[at].generation;
-                if to.is_some_and(|to| to != generation) {
+                // An heir is told of the ends of what it has inherited, too; what it asks for on that account is the first one's affair.
+                let inherits = matches!(event, Event::Ended(_) | Event::FirstToken { .. });
+                if to.is_some_and(|to| to != generation && !(inherits && to < generation)) {
                     continue;
                 }
                 self.brains[at].router.handle(self.now, event.clone(), &mut actions);
                 for action in std::mem::take(&mut actions) {
+                    if self.is_anothers(generation, &action) {
+                        continue;
+                    }
                     self.carry_out(generation, action, out);
                 }
             }
@@ -308,8 +329,21 @@
 
     // ---- News ---------------------------------------------------------------------------------
 
-    fn take_list(&mut self, list: &[EngineSite], out: &mut Vec<Output>) {
-        let (event, closed) = self.members.replace(self.now, list);
+    /// The list, in which engines that operators have taken out take nothing new.
+    fn without_taken_out(&self) -> Vec<EngineSite> {
+        let mut list = self.listed.clone();
+        for engine in list.iter_mut().filter(|e| self.site.taken_out.contains(&e.name)) {
+            if engine.state == EngineState::Ready {
+                engine.state = EngineState::Draining;
+            }
+        }
+        list
+    }
+
+    pub(crate) fn take_list(&mut self, list: &[EngineSite], out: &mut Vec<Output>) {
+        self.listed = list.to_vec();
+        let list = self.without_taken_out();
+        let (event, closed) = self.members.replace(self.now, &list);
         self.tell_all(event);
         // What has not left for an engine that drains or is gone goes elsewhere.
         let unsent: Vec<ConnId> = self.sorted_links(|l| {
@@ -327,11 +361,16 @@
 
     fn take_site(&mut self, site: &Arc<Site>, out: &mut Vec<Output>) {
         let listed = self.site.engines != site.engines;
-        self.add_brain(site.clone());
+        if self.policy.is_some() {
+            // What is the router's own has changed; the policy has not, and what was learnt stays.
+            self.inherit(site.clone(), out);
+        } else {
+            self.add_brain(site.clone());
+        }
         if listed {
             self.take_list(&site.engines.clone(), out);
         } else {
-            let current: Vec<EngineSite> = self.members.iter().map(|(_, m)| m.site.clone()).collect();
+            let current = self.listed.clone();
             self.take_list(&current, out);
         }
         out.push(Output::Log("settings were read again; requests under way end by the old ones".into()));
@@ -422,6 +461,7 @@
         self.now = self.now.max(now);
         // What is due comes before what has just come in, whatever order the driver found them in.
         self.run_timers(out);
+        self.mind_policy(out);
         match input {
             Input::Accepted(conn, door) => {
                 let limits =
@@ -451,6 +491,8 @@
                     self.take_site(site, out);
                 } else if let Some(board) = news.downcast_ref::<Arc<Board>>() {
                     self.fleet = Some(board.clone());
+                } else if let Some(board) = news.downcast_ref::<Arc<PolicyBoard>>() {
+                    self.policy = Some(board.clone());
                 } else if let Some(routers) = news.downcast_ref::<Sharing>() {
                     self.share_with(*routers);
                 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,12 +24,13 @@
 mod limits;
 mod link;
 mod members;
+mod policy;
 mod serve;
 pub mod site;
 mod translate;
 mod verdict;
 
-pub use call::Final;
+pub use call::{Final, POLICY};
 pub use front::{Front, Sharing, Tally};
 pub use members::engine_id;
 pub use site::Site;
--- /dev/null
+++ b/crates/front/src/policy.rs
@@ -0,0 +1,192 @@
+//! The fleet's policy at this router: by which epoch it takes requests, how another one comes to hold here, and what operators ask of it.
+//! Decides nothing: whether an epoch holds is `slipreel-accord`'s word.
+
+use crate::front::{Brain, Front};
+use crate::serve::retry_after;
+use crate::site::Site;
+use serde_json::{json, Value};
+use slipreel::{Action, Places};
+use slipreel_accord::book::Proposal;
+use slipreel_accord::wire::Word;
+use slipreel_accord::{pace, Board};
+use slipreel_links::{Received, State};
+use slipreel_machine::{ConnId, Output};
+use slipreel_protocol::messages::{ErrorKind, Fault};
+use std::sync::Arc;
+
+impl Front {
+    /// The epoch by which requests are taken, where the fleet agrees on one.
+    pub(crate) fn epoch(&self) -> Option<u64> {
+        self.policy.as_ref().map(|_| self.acts_by)
+    }
+
+    /// The epoch that is named on the answer that a connection waits for: its request's own, or the present one.
+    pub(crate) fn epoch_of(&self, conn: ConnId) -> Option<String> {
+        let present = self.epoch()?;
+        let request = self.clients.get(&conn).and_then(|c| match c.state {
+            State::Serving(Some(id)) => self.calls.get(&slipreel::RequestId(id)),
+            _ => None,
+        });
+        Some(request.and_then(|call| call.epoch).unwrap_or(present).to_string())
+    }
+
+    /// Whether requests may be taken by the present epoch, as far as this router can know at this moment.
+    pub(crate) fn may_take(&self) -> bool {
+        let Some(board) = &self.policy else { return true };
+        let permit = board.permit();
+        permit.epoch == self.acts_by && permit.holds(self.now)
+    }
+
+    /// It can't know whether its epoch still holds: answered at once, with when to come back.
+    pub(crate) fn uncertain(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let fault = Fault::new(
+            ErrorKind::Unavailable,
+            "this router can't know at present which policy is in force; another may",
+        );
+        let (s, ms) = retry_after(pace::COME_BACK);
+        let fields = [("retry-after", s.as_str()), ("retry-after-ms", &ms), ("x-should-retry", "true")];
+        self.turn(conn, fault.kind.status(), &fault, &fields, out);
+    }
+
+    /// Takes on another epoch, if there is one: requests that were taken end by the settings under which they were.
+    pub(crate) fn mind_policy(&mut self, out: &mut Vec<Output>) {
+        let Some(board) = &self.policy else { return };
+        if board.epoch() == self.acts_by {
+            return;
+        }
+        let permit = board.permit();
+        let Some(site) = permit.made.clone().and_then(|made| made.downcast::<Site>().ok()) else { return };
+        let mut site = (*site).clone();
+        // Each thread has a name of its own, and reloads may have changed what is the router's own.
+        site.name.clone_from(&self.site.name);
+        self.acts_by = permit.epoch;
+        self.inherit(Arc::new(site), out);
+        out.push(Output::Log(format!("policy: requests are taken by epoch {} from now on", permit.epoch)));
+    }
+
+    /// Other settings, and all that was learnt under the last ones.
+    pub(crate) fn inherit(&mut self, site: Arc<Site>, out: &mut Vec<Output>) {
+        let Some(last) = self.brains.last() else { return };
+        let place = |name: &String, all: &[String]| all.iter().position(|n| n == name);
+        let classes: Vec<String> = self.site.classes.iter().map(|c| c.name.clone()).collect();
+        let tenants: Vec<String> = self.site.tenants.iter().map(|t| t.name.clone()).collect();
+        let places = Places {
+            classes: site.classes.iter().map(|c| place(&c.name, &classes)).collect(),
+            tenants: site.tenants.iter().map(|t| place(&t.name, &tenants)).collect(),
+        };
+        let generation = last.generation + 1;
+        let settings = self.settings_of(&site);
+        let mut actions: Vec<Action> = Vec::new();
+        let seed = self.seed.wrapping_add(generation);
+        let Some(last) = self.brains.last() else { return };
+        let router = last.router.heir(self.now, settings, &places, seed, &mut actions);
+        self.brains.push(Brain { generation, router });
+        let listed = site.taken_out != self.site.taken_out;
+        self.site = site;
+        for action in actions {
+            self.carry_out(generation, action, out);
+        }
+        if listed {
+            let current = self.listed.clone();
+            self.take_list(&current, out);
+        }
+    }
+
+    /// Whether an action concerns a request that another generation has taken.
+    pub(crate) fn is_anothers(&self, generation: u64, action: &Action) -> bool {
+        let id = match action {
+            Action::Send { request, .. } | Action::Cancel { request, .. } | Action::Refuse { request, .. } => request,
+            Action::Fail(request) | Action::Release(request) => request,
+            _ => return false,
+        };
+        self.calls.get(id).is_some_and(|call| call.generation != generation)
+    }
+
+    // ---- Operators ------------------------------------------------------------------------------
+
+    /// What operators ask of the policy.
+    pub(crate) fn operate_policy(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) {
+        let Some(board) = self.policy.clone() else { return };
+        let (method, path) = (received.method(), received.path());
+        let (what, name) = path["/policy/".len()..].split_once('/').unwrap_or((&path["/policy/".len()..], ""));
+        let shown = board.shown();
+        let answer: Result<(u16, Value), Fault> = match (method, what, name) {
+            ("GET", "status", "") => Ok((200, shown.status(self.may_take()))),
+            ("GET", "status", id) => Ok((200, shown.outcome(id))),
+            ("GET", "history", "") => Ok((200, shown.history())),
+            ("GET", "text", "") => Ok((200, json!({"epoch": shown.epoch, "text": shown.text}))),
+            ("POST", "propose", id) => self.propose(&board, id, &received.body),
+            ("POST", "rollback", name) => self.roll_back(&board, name),
+            ("POST", "replace", name) => {
+                let (old, new) = name.split_once('/').map_or((name, None), |(o, n)| (o, Some(n.to_owned())));
+                if shown.voters.iter().any(|v| v == old) {
+                    said(board.say(Word::Replace { old: old.into(), new }), json!({"replaced": old}))
+                } else {
+                    let voters = shown.voters.join(", ");
+                    let what = format!("{old:?}: expected one of those who vote: {voters}");
+                    Err(Fault::new(ErrorKind::InvalidRequest, what))
+                }
+            }
+            _ => {
+                let what = format!(
+                    "{method} {path}: expected GET /policy/status, /policy/status/ID, /policy/history or /policy/text, \
+                     POST /policy/propose/ID, /policy/rollback/ID/EPOCH or /policy/replace/OLD[/NEW]"
+                );
+                Err(Fault::new(ErrorKind::NotFound, what))
+            }
+        };
+        match answer {
+            Ok((status, body)) => self.answer(conn, status, &[], body.to_string().as_bytes(), out),
+            Err(fault) => self.turn(conn, fault.kind.status(), &fault, &[], out),
+        }
+    }
+
+    fn wall(&self) -> u64 {
+        (self.epoch_ahead + self.now).as_secs()
+    }
+
+    fn propose(&self, board: &Board, id: &str, body: &[u8]) -> Result<(u16, Value), Fault> {
+        let bad = |what: String| Fault::new(ErrorKind::InvalidRequest, what);
+        check_id(id)?;
+        let text = std::str::from_utf8(body).map_err(|e| bad(format!("the policy: expected UTF-8: {e}")))?;
+        if text.is_empty() || text.len() > pace::TEXT {
+            return Err(bad(format!("{} bytes: expected a policy of 1 to {} bytes", text.len(), pace::TEXT)));
+        }
+        let from = board.shown().name.clone();
+        let proposal =
+            Proposal { id: id.into(), text: text.into(), from, wall: self.wall(), on: 0, back: None };
+        said(board.say(Word::Propose(proposal)), json!({"id": id}))
+    }
+
+    fn roll_back(&self, board: &Board, name: &str) -> Result<(u16, Value), Fault> {
+        let bad = |what: String| Fault::new(ErrorKind::InvalidRequest, what);
+        let (id, epoch) = name.split_once('/').ok_or_else(|| bad("expected ID/EPOCH".into()))?;
+        check_id(id)?;
+        let epoch: u64 =
+            epoch.parse().map_err(|_| bad(format!("{epoch:?}: expected the number of an epoch")))?;
+        let shown = board.shown();
+        let proposal = shown.back_to(epoch, id.into(), self.wall()).ok_or_else(|| {
+            let kept: Vec<String> = shown.texts.iter().map(|(e, _)| e.to_string()).collect();
+            let who = if shown.votes { "this router keeps" } else { "this router does not vote and keeps only the present one; ask one of the voters" };
+            bad(format!("epoch {epoch}: expected one that is kept: {who}: {}", kept.join(", ")))
+        })?;
+        said(board.say(Word::Propose(proposal)), json!({"id": id}))
+    }
+}
+
+fn check_id(id: &str) -> Result<(), Fault> {
+    let good = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if id.is_empty() || id.len() > 64 || !id.chars().all(good) {
+        let what = format!("{id:?}: expected an id of 1 to 64 letters, digits, '-', '_' and '.'");
+        return Err(Fault::new(ErrorKind::InvalidRequest, what));
+    }
+    Ok(())
+}
+
+fn said(room: bool, body: Value) -> Result<(u16, Value), Fault> {
+    if room {
+        Ok((202, body))
+    } else {
+        Err(Fault::new(ErrorKind::Overloaded, "too many words of operators wait here: expected fewer at once"))
+    }
+}
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,6 +1,6 @@
 //! The clients' side: what a request asks for, and its one final answer.
 
-use crate::call::{Call, Final, NewCall};
+use crate::call::{Call, Final, NewCall, POLICY};
 use crate::classify;
 use crate::front::Front;
 use crate::gauges::{self, Why};
@@ -52,7 +52,7 @@
     }
 
     /// An answer that needs no engine.
-    fn turn(
+    pub(crate) fn turn(
         &mut self, conn: ConnId, status: u16, fault: &Fault, fields: &[(&str, &str)], out: &mut Vec<Output>,
     ) {
         let request_id = self.request_id();
@@ -64,15 +64,19 @@
         self.answer(conn, status, &all, body.as_bytes(), out);
     }
 
-    fn answer(
+    pub(crate) fn answer(
         &mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
     ) {
         let stopping = self.stopping;
+        let epoch = self.epoch_of(conn);
         let Some(client) = self.clients.get_mut(&conn) else { return };
         if stopping {
             client.last_answer();
         }
-        client.answer(status, fields, body, out);
+        match &epoch {
+            Some(epoch) => client.answer(status, &[fields, &[(POLICY, epoch.as_str())]].concat(), body, out),
+            None => client.answer(status, fields, body, out),
+        }
         self.client_done(conn, out);
     }
 
@@ -94,7 +98,10 @@
     fn route(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) {
         let (method, path) = (received.method(), received.path());
         if self.clients.get(&conn).is_some_and(|c| c.door == OPERATORS) {
-            return self.operate(conn, method, path, out);
+            return self.operate(conn, received, out);
+        }
+        if path != "/health" && !self.may_take() {
+            return self.uncertain(conn, out);
         }
         let answered = match (method, path) {
             ("POST", "/v1/messages") => self.ask(conn, received, out),
@@ -108,6 +115,7 @@
                 let (status, word) = match outside {
                     _ if self.stopping => (503, "stopping"),
                     Some(word) => (503, word),
+                    None if !self.may_take() => (503, "policy"),
                     None => (200, "ok"),
                 };
                 self.answer(conn, status, &[], json!({"status": word}).to_string().as_bytes(), out);
@@ -156,7 +164,8 @@
     }
 
     /// What operators ask, on a port of their own.
-    fn operate(&mut self, conn: ConnId, method: &str, path: &str, out: &mut Vec<Output>) {
+    fn operate(&mut self, conn: ConnId, received: &Received, out: &mut Vec<Output>) {
+        let (method, path) = (received.method(), received.path());
         match (method, path) {
             ("GET", "/metrics") => {
                 let view = self.fleet.as_ref().map(|board| board.view().metrics());
@@ -167,6 +176,9 @@
                 let fault = Fault::new(ErrorKind::InvalidRequest, format!("{path} does not take {method}"));
                 self.turn(conn, 405, &fault, &[], out);
             }
+            _ if path.starts_with("/policy/") && self.policy.is_some() => {
+                self.operate_policy(conn, received, out)
+            }
             _ if path.starts_with("/fleet/") && self.fleet.is_some() => {
                 self.operate_fleet(conn, method, path, out)
             }
@@ -239,6 +251,8 @@
             generation,
             client: conn,
             request_id,
+            site: self.site.clone(),
+            epoch: self.epoch(),
             class: traits.class.0,
             effect: self.site.settings.classes[traits.class.0].effect,
             stream: ask.stream,
@@ -344,7 +358,10 @@
         let Some(call) = self.calls.get(&id) else { return };
         let Some(client) = self.clients.get_mut(&call.client) else { return };
         client.moved = now;
-        client.begin_stream(&[("request-id", &call.request_id)], out);
+        let epoch = call.epoch.map(|e| e.to_string());
+        let mut fields = vec![("request-id", call.request_id.as_str())];
+        fields.extend(epoch.as_ref().map(|e| (POLICY, e.as_str())));
+        client.begin_stream(&fields, out);
         let conn = client.conn;
         self.arm_client(conn);
     }
@@ -371,8 +388,8 @@
         let (conn, stream, request_id) = (call.client, call.stream, call.request_id.clone());
         let mut bytes = Vec::new();
         call.writer.finish(&mut bytes);
-        let (class, tokens) = (call.class, call.writer.used().output_tokens);
-        self.gauges.answered(self.class_name(class), tokens);
+        let tokens = call.writer.used().output_tokens;
+        self.gauges.answered(call.class_name(), tokens);
         self.final_of(id, Final::Served);
         if stream {
             if let Some(client) = self.clients.get_mut(&conn) {
@@ -438,7 +455,7 @@
                 true if over_share => Why::OverShare,
                 true => Why::Door,
             };
-            self.gauges.refused(self.class_name(call.class), why);
+            self.gauges.refused(call.class_name(), why);
         }
         self.answer_fault(id, &fault, come_back, Final::Refused, out);
     }
@@ -501,7 +518,7 @@
 }
 
 /// The two fields that tell when to come back: whole seconds as HTTP has it, and milliseconds.
-fn retry_after(wait: Duration) -> (String, String) {
+pub(crate) fn retry_after(wait: Duration) -> (String, String) {
     let ms = wait.as_millis().max(1);
     (ms.div_ceil(1000).to_string(), ms.to_string())
 }
--- a/crates/front/src/site.rs
+++ b/crates/front/src/site.rs
@@ -21,6 +21,10 @@
     pub engines: Vec<EngineSite>,
     /// What the front bounds.
     pub bounds: Bounds,
+    /// Engines that take nothing new whatever the list says, by name.
+    pub taken_out: Vec<String>,
+    /// Operators want no engine to change its role: shown to who changes them.
+    pub roles_frozen: bool,
     /// The zone of this router, by name; it goes into `settings.zone` as the list numbers it.
     pub zone: String,
     /// Names this router to engines (`via`), and begins its request ids.
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -37,6 +37,8 @@
         tenants: Vec::new(),
         engines: vec![engine(1, slipreel::Role::Read), engine(2, slipreel::Role::Write)],
         bounds: Bounds { requests: 3, body: 10_000, unsent: 2_000, ..Bounds::default() },
+        taken_out: Vec::new(),
+        roles_frozen: false,
         zone: "a".into(),
         name: "r".into(),
     }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -23,6 +23,8 @@
     Api,
     /// 504: not in time.
     Timeout,
+    /// 503: this router can't take requests at present; another may.
+    Unavailable,
     /// 529: the fleet is overloaded.
     Overloaded,
 }
@@ -39,6 +41,7 @@
             ErrorKind::RateLimit => 429,
             ErrorKind::Api => 500,
             ErrorKind::Timeout => 504,
+            ErrorKind::Unavailable => 503,
             ErrorKind::Overloaded => 529,
         }
     }
@@ -54,6 +57,7 @@
             ErrorKind::RateLimit => "rate_limit_error",
             ErrorKind::Api => "api_error",
             ErrorKind::Timeout => "timeout_error",
+            ErrorKind::Unavailable => "unavailable_error",
             ErrorKind::Overloaded => "overloaded_error",
         }
     }
--- a/crates/settings/src/doc.rs
+++ b/crates/settings/src/doc.rs
@@ -46,6 +46,8 @@
     /// The rest; empty if there is none.
     pub name: String,
     line: usize,
+    /// The file that it stands in.
+    file: String,
     entries: Vec<Entry>,
     used: bool,
 }
@@ -98,6 +100,7 @@
                 kind: kind.into(),
                 name: name.trim().into(),
                 line,
+                file: file.into(),
                 entries: Vec::new(),
                 used: false,
             };
@@ -128,6 +131,45 @@
         Fault { file: self.file.clone(), line, section: section.into(), key: key.into(), what }
     }
 
+    /// Sections of these kinds alone, of another document, in place of those that stand here.
+    pub fn put(&mut self, kinds: &[&str], other: Doc) {
+        self.sections.retain(|s| !kinds.contains(&s.kind.as_str()));
+        self.sections.extend(other.sections.into_iter().filter(|s| kinds.contains(&s.kind.as_str())));
+        self.faults.extend(other.faults);
+    }
+
+    /// Leaves out all sections but those of these kinds; gives the keys that were left out, by section.
+    pub fn only(&mut self, kinds: &[&str]) -> Vec<String> {
+        let ours = |s: &Section| kinds.contains(&s.kind.as_str());
+        let left = self.sections.iter().filter(|s| !ours(s));
+        let named = left.flat_map(|s| s.entries.iter().map(move |e| format!("[{}] {}", s.head(), e.key)));
+        let named = named.collect();
+        self.sections.retain(ours);
+        named
+    }
+
+    /// The sections of these kinds in one form, whatever the order and the spaces in which they were written: the same settings, the same text.
+    pub fn canonical(&self, kinds: &[&str]) -> String {
+        let mut sections: Vec<&Section> =
+            self.sections.iter().filter(|s| kinds.contains(&s.kind.as_str())).collect();
+        // Classes keep their order: a request that names none takes that of its model, and tables list them so.
+        sections.sort_by_key(|s| kinds.iter().position(|k| *k == s.kind));
+        let mut text = String::new();
+        for section in sections.iter().filter(|s| !s.entries.is_empty()) {
+            text += &format!("[{}]\n", section.head());
+            let mut entries: Vec<&Entry> = section.entries.iter().collect();
+            entries.sort_by(|a, b| a.key.cmp(&b.key));
+            entries.iter().for_each(|e| text += &format!("{} = {}\n", e.key, e.value));
+        }
+        text
+    }
+
+    /// Every key with its value, by section.
+    pub fn facts(&self) -> Vec<(String, String, String)> {
+        let all = self.sections.iter();
+        all.flat_map(|s| s.entries.iter().map(move |e| (s.head(), e.key.clone(), e.value.clone()))).collect()
+    }
+
     /// The sections of a kind, by position.
     pub fn all(&mut self, kind: &str) -> Vec<usize> {
         let matches = |(at, s): (usize, &mut Section)| {
@@ -166,7 +208,7 @@
         let section = &self.sections[at];
         let line = section.entries.iter().find(|e| e.key == key).map_or(section.line, |e| e.line);
         let fault = self.fault_at(line, &section.head(), key, what.into());
-        self.faults.push(fault);
+        self.faults.push(Fault { file: section.file.clone(), ..fault });
     }
 
     /// Reports a fault of the file as a whole.
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::doc::{Doc, Fault};
 use crate::values::{Loopback, Name, Value};
+use slipreel_accord::Cut;
 use slipreel_fleet::Peers;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,6 +23,38 @@
     pub book: Option<PathBuf>,
     /// The longest datagram, bytes.
     pub datagram: usize,
+    /// Who founds the fleet's policy, by name; none: each router acts by its own file.
+    pub founders: Vec<String>,
+    /// What a router does that can't know whether its policy still holds.
+    pub cut: Cut,
+}
+
+impl Value for Cut {
+    const EXPECTED: &'static str = "refuse or serve";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "refuse" => Ok(Cut::Refuse),
+            "serve" => Ok(Cut::Serve),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// Some names, each once.
+struct Names(Vec<String>);
+
+impl Value for Names {
+    const EXPECTED: &'static str = "one to nine names with commas between them, each once";
+    fn read(text: &str) -> Result<Self, String> {
+        let words = text.split(',').map(str::trim).filter(|w| !w.is_empty());
+        let all: Result<Vec<String>, String> = words.map(|n| Name::read(n).map(|n| n.0)).collect();
+        let all = all.map_err(|_| Self::EXPECTED.to_owned())?;
+        let once = all.iter().enumerate().all(|(at, name)| !all[..at].contains(name));
+        if all.is_empty() || all.len() > slipreel_accord::pace::VOTERS || !once {
+            return Err(Self::EXPECTED.into());
+        }
+        Ok(Names(all))
+    }
 }
 
 /// Some addresses of loopback, or none.
@@ -86,7 +119,15 @@
         folder: doc.get::<String>(at, "folder").map(PathBuf::from),
         book: doc.get::<String>(at, "book").map(PathBuf::from),
         datagram: doc.or(Some(at), "datagram", Datagram(DATAGRAM)).0,
+        founders: doc.or(Some(at), "founders", Names(Vec::new())).0,
+        cut: doc.or(Some(at), "cut", Cut::Refuse),
     };
+    if !site.founders.is_empty() && site.folder.is_none() {
+        doc.say(at, "founders", "expected a folder, too: what a voter has promised must outlive it");
+    }
+    if site.founders.is_empty() && doc.text(at, "cut").is_some() {
+        doc.say(at, "cut", "expected founders, too: without them each router acts by its own file");
+    }
     Some(site)
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod doc;
 mod fleet;
+mod policy;
 mod roles;
 mod site;
 mod slices;
@@ -15,6 +16,7 @@
 
 pub use doc::{Doc, Fault, Section};
 pub use fleet::{read_book, FleetSite};
+pub use policy::{changes, join, masked, policy_of, Policy, POLICY_SECTIONS};
 pub use roles::{parse_roles, RolesSite};
 pub use site::{read_site, Daemon, LogFormat, SITE_SECTIONS};
 pub use slices::{engines_from_slices, engines_to_slices};
--- /dev/null
+++ b/crates/settings/src/policy.rs
@@ -0,0 +1,181 @@
+//! Which settings are the fleet's policy, and which are a router's own.
+//!
+//! Policy: what all routers have to agree on. It has one canonical text, by which two files are the same policy or are not.
+
+use crate::doc::{Doc, Fault};
+use crate::site::{read_site, SITE_SECTIONS};
+use crate::Daemon;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The sections that are policy, in their canonical order. All others are a router's own.
+pub const POLICY_SECTIONS: &[&str] = &["limits", "class", "model", "tenant", "operations"];
+
+/// A policy as it was read from a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// In canonical form.
+    pub text: String,
+    /// Keys of the file that are a router's own and were left aside.
+    pub left_aside: Vec<String>,
+}
+
+/// Reads the policy of a file: a whole settings file, or its policy sections alone.
+///
+/// # Errors
+/// Every fault of it, with its line in the file.
+pub fn policy_of(text: &str, file: &str) -> Result<Policy, Vec<Fault>> {
+    let mut doc = Doc::parse(text, file)?;
+    let left_aside = doc.only(POLICY_SECTIONS);
+    let canonical = doc.canonical(POLICY_SECTIONS);
+    let _ = read_site(&mut doc, false);
+    doc.finish(POLICY_SECTIONS)?;
+    Ok(Policy { text: canonical, left_aside })
+}
+
+/// The settings of a router whose own sections are those of its file, and whose policy is this one.
+///
+/// # Errors
+/// Every fault; those of the policy name its own lines, in `policy`.
+pub fn join(own: &str, file: &str, policy: &str) -> Result<Daemon, Vec<Fault>> {
+    let mut doc = Doc::parse(own, file)?;
+    doc.put(POLICY_SECTIONS, Doc::parse(policy, "policy")?);
+    let daemon = read_site(&mut doc, true);
+    doc.skip("roles");
+    doc.finish(SITE_SECTIONS)?;
+    daemon.ok_or_else(Vec::new)
+}
+
+/// A tenant's keys are its clients' secrets: shown as marks by which they can be told apart, not used.
+fn mask(key: &str, value: &str) -> String {
+    if key != "keys" {
+        return value.to_owned();
+    }
+    let keys = value.split(',').map(str::trim).filter(|k| !k.is_empty());
+    let marks: Vec<String> = keys.map(|k| format!("key:{:08x}", xxh3_64(k.as_bytes()) as u32)).collect();
+    marks.join(", ")
+}
+
+/// A policy's text for people: keys of tenants are marks.
+pub fn masked(text: &str) -> String {
+    let lines = text.lines().map(|line| match line.split_once(" = ") {
+        Some((key, value)) => format!("{key} = {}\n", mask(key, value)),
+        None => format!("{line}\n"),
+    });
+    lines.collect()
+}
+
+/// What a change from one policy's text to another's means, a line each. Texts may be masked.
+///
+/// # Errors
+/// One of them can't be read.
+pub fn changes(before: &str, after: &str) -> Result<Vec<String>, Vec<Fault>> {
+    let facts = |text: &str, file: &str| -> Result<BTreeMap<String, BTreeMap<String, String>>, Vec<Fault>> {
+        let mut all: BTreeMap<String, BTreeMap<String, String>> = BTreeMap::new();
+        for (head, key, value) in Doc::parse(text, file)?.facts() {
+            let value = if value.starts_with("key:") { value } else { mask(&key, &value) };
+            all.entry(head).or_default().insert(key, value);
+        }
+        Ok(all)
+    };
+    let (old, new) = (facts(before, "in force")?, facts(after, "proposed")?);
+    let mut lines = Vec::new();
+    for (head, keys) in &new {
+        let Some(had) = old.get(head) else {
+            let said: Vec<String> = keys.iter().map(|(k, v)| format!("{k} = {v}")).collect();
+            lines.push(format!("[{head}] is new: {}{}", said.join(", "), meaning_of_section(head, true)));
+            continue;
+        };
+        for (key, value) in keys {
+            match had.get(key) {
+                Some(was) if was == value => {}
+                Some(was) => lines.push(format!("[{head}] {key}: {was} becomes {value}{}", meaning(head, key))),
+                None => lines.push(format!("[{head}] {key}: not set becomes {value}{}", meaning(head, key))),
+            }
+        }
+        for (key, was) in had.iter().filter(|(key, _)| !keys.contains_key(*key)) {
+            lines.push(format!("[{head}] {key}: {was} is not set any more{}", meaning(head, key)));
+        }
+    }
+    for head in old.keys().filter(|head| !new.contains_key(*head)) {
+        lines.push(format!("[{head}] is gone{}", meaning_of_section(head, false)));
+    }
+    Ok(lines)
+}
+
+fn meaning_of_section(head: &str, new: bool) -> String {
+    let what = match (head.split(' ').next().unwrap_or(head), new) {
+        ("tenant", true) => "its keys are taken from then on",
+        ("tenant", false) => "its keys are not taken any more: 401",
+        ("model", true) => "clients may ask for it",
+        ("model", false) => "clients that ask for it get 404",
+        ("class", false) => "its requests under way end by it; no new one is of it",
+        _ => return String::new(),
+    };
+    format!("; {what}")
+}
+
+/// What a key does to traffic, in words.
+fn meaning(head: &str, key: &str) -> String {
+    let what = match (head.split(' ').next().unwrap_or(head), key) {
+        ("class", "worth") => "who is refused first when the fleet is full",
+        ("class", "aim" | "aim_per_1000") => "when its first token is late",
+        ("class", "patience") => "how long its clients are waited for unless they say",
+        ("class", "effect" | "group" | "window") => "whether a failed request is tried again",
+        ("tenant", "quota_per_s") => "from which rate on its requests are worth less",
+        ("tenant", "keys") => "which keys are taken",
+        ("tenant", "may_choose_class") => "whether its requests may name a class",
+        ("model", "class") => "of which class its requests are",
+        ("model", "served_as") => "by which name engines are asked for it",
+        ("limits", "attempts") => "how often a request is tried",
+        ("limits", "cold_share" | "cold_time") => "how much a started engine is given",
+        ("limits", "retry_after") => "when refused clients may come again, at most",
+        ("operations", "taken_out") => "which engines take nothing new",
+        ("operations", "roles_frozen") => "whether engines change their roles",
+        _ => return String::new(),
+    };
+    format!(" ({what})")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = "[router]\nlisten = 127.0.0.1:8080\nname = r0\n\n[class chat]\nworth=1\n aim = 1s\n\
+                        [model m]\nclass = chat\n[tenant t]\nkeys = secret\nquota_per_s = 5\n\
+                        [engine a]\naddress = 127.0.0.1:9000\nrole = both\n";
+
+    #[test]
+    fn a_policy_is_the_same_whatever_the_file_looks_like_and_own_keys_are_named() {
+        let policy = policy_of(FILE, "a.ini").expect("good");
+        assert!(policy.left_aside.contains(&"[router] listen".to_owned()), "{:?}", policy.left_aside);
+        let other = "[tenant t]\nquota_per_s = 5\nkeys = secret\n[model m]\nclass = chat\n[class chat]\naim = 1s\nworth = 1\n";
+        assert_eq!(policy_of(other, "b.ini").expect("good").text, policy.text);
+        assert!(!masked(&policy.text).contains("secret"));
+        let daemon = join(FILE, "a.ini", &policy.text.replace("aim = 1s", "aim = 2s")).expect("good");
+        assert_eq!(daemon.site.settings.classes[0].aim.as_secs(), 2);
+        assert_eq!((daemon.site.name.as_str(), daemon.site.engines.len()), ("r0", 1));
+    }
+
+    #[test]
+    fn faults_name_the_line_of_the_text_that_they_stand_in() {
+        let bad = policy_of("[class chat]\nworth = much\n[model m]\nclass = chat\n", "b.ini").expect_err("bad");
+        assert_eq!((bad[0].file.as_str(), bad[0].line, bad[0].key.as_str()), ("b.ini", 2, "worth"));
+        let bad = join(FILE, "a.ini", "[class chat]\naim = 1s\n[model m]\nclass = talk\n").expect_err("bad");
+        assert_eq!((bad[0].file.as_str(), bad[0].line, bad[0].key.as_str()), ("policy", 4, "class"));
+        let own = FILE.replace("role = both", "role = all");
+        let bad = join(&own, "a.ini", &policy_of(FILE, "a.ini").expect("good").text).expect_err("bad");
+        assert_eq!(bad[0].file, "a.ini");
+    }
+
+    #[test]
+    fn changes_are_told_in_words_and_without_secrets() {
+        let before = policy_of(FILE, "a").expect("good").text;
+        let after = before.replace("keys = secret", "keys = secret, other").replace("quota_per_s = 5\n", "");
+        let lines = changes(&masked(&before), &after).expect("good");
+        assert_eq!(lines.len(), 2, "{lines:?}");
+        assert!(lines.iter().all(|l| !l.contains("secret") && !l.contains("other")), "{lines:?}");
+        assert!(lines[1].contains("quota_per_s: 5 is not set any more"), "{lines:?}");
+        assert!(changes(&before, &masked(&before)).expect("good").is_empty());
+    }
+}
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -14,7 +14,7 @@
 
 /// The sections of a router's settings.
 pub const SITE_SECTIONS: &[&str] =
-    &["router", "limits", "bounds", "class", "model", "tenant", "engine", "log", "roles", "fleet"];
+    &["router", "limits", "bounds", "class", "model", "tenant", "operations", "engine", "log", "roles", "fleet"];
 
 /// How lines are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +121,8 @@
         tenants: tenant_sites,
         engines,
         bounds,
+        taken_out: read_taken_out(doc),
+        roles_frozen: read_roles_frozen(doc),
         zone: doc.or(router, "zone", Name("default".into())).0,
         name: doc.or(router, "name", Name("slipreel".into())).0,
     };
@@ -283,6 +285,23 @@
     tenants
 }
 
+/// Engines that operators have taken out by hand, by name. One that this router does not list may be another's.
+fn read_taken_out(doc: &mut Doc) -> Vec<String> {
+    let at = doc.one("operations");
+    let text = doc.or(at, "taken_out", String::new());
+    let names: Vec<String> =
+        text.split(',').map(str::trim).filter(|n| !n.is_empty()).map(str::to_owned).collect();
+    if let (Some(at), Some(bad)) = (at, names.iter().find(|n| Name::read(n).is_err())) {
+        doc.say(at, "taken_out", format!("{bad:?}: expected names of engines with commas between them"));
+    }
+    names
+}
+
+fn read_roles_frozen(doc: &mut Doc) -> bool {
+    let at = doc.one("operations");
+    doc.or(at, "roles_frozen", false)
+}
+
 fn read_engines(doc: &mut Doc) -> Vec<EngineSite> {
     let mut engines: Vec<EngineSite> = Vec::new();
     for at in doc.all("engine") {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,4 +81,5 @@
 mod rules;
 
 pub use interface::*;
+pub use rules::gauge::Places;
 pub use rules::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-mod gauge;
+pub(crate) mod gauge;
 
 /// Factor of the refusal curve; no unit. From the llm-d post.
 const CURVE_FACTOR: f64 = 300.0;
@@ -91,7 +91,7 @@
     List,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Server {
     entry: Engine,
     role: Role,
--- a/src/rules/gauge.rs
+++ b/src/rules/gauge.rs
@@ -1,7 +1,10 @@
 //! What a router holds, for its host to show and to check against its sockets, and the one setting that changes while it runs.
 //! Decides nothing.
 
+mod heir;
+
 use super::Router;
+pub use heir::Places;
 use crate::interface::EngineId;
 
 impl Router {
--- /dev/null
+++ b/src/rules/gauge/heir.rs
@@ -0,0 +1,63 @@
+//! New settings while a router runs: an heir that knows all that the first has learnt, and takes the requests from then on. The first
+//! ends what it has taken, by the settings under which it took it. Decides nothing: it copies.
+
+use super::super::{Alarm, Attempt, Job, Router};
+use crate::interface::{Action, ClassId, Settings};
+use std::time::Duration;
+
+/// Where the new settings' entries stood in the old ones; what is new stands nowhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Places {
+    /// For each new class its old place.
+    pub classes: Vec<Option<usize>>,
+    /// For each new tenant its old place.
+    pub tenants: Vec<Option<usize>>,
+}
+
+impl Places {
+    fn new_class(&self, old: ClassId) -> ClassId {
+        let at = self.classes.iter().position(|&place| place == Some(old.0));
+        ClassId(at.unwrap_or(0))
+    }
+}
+
+impl Router {
+    /// A router by other settings that knows what this one has learnt: load, pace, cold budgets, ejections, rests by class, what is left of
+    /// quotas by tenant. It counts this one's attempts as out, too: it is to be told of their ends as this one is, and what it asks for on their
+    /// account is not to be carried out. Timers that it needs are appended to `out`.
+    #[must_use]
+    pub fn heir(
+        &self, now: Duration, settings: Settings, places: &Places, seed: u64, out: &mut Vec<Action>,
+    ) -> Router {
+        let mut heir = Router::new(settings, seed);
+        heir.mean_prompt = self.mean_prompt;
+        heir.unread = self.unread;
+        heir.means = self.means;
+        heir.logged = self.logged;
+        for (place, quota) in places.tenants.iter().zip(&mut heir.quotas) {
+            if let Some(old) = place.and_then(|at| self.quotas.get(at)) {
+                *quota = *old;
+            }
+        }
+        heir.servers.clone_from(&self.servers);
+        for server in heir.servers.values_mut() {
+            let rest = |place: &Option<usize>| place.and_then(|at| server.rests.get(at).copied());
+            let rests = places.classes.iter().map(|place| rest(place).unwrap_or_default()).collect();
+            server.rests = rests;
+            server.askers.clear();
+        }
+        for (&id, job) in self.jobs.iter().filter(|(_, j)| j.attempts.iter().any(|a| a.out)) {
+            let mut request = job.request.clone();
+            request.class = places.new_class(request.class);
+            let attempts = job.attempts.iter().map(|a| Attempt { ..*a }).collect();
+            heir.jobs.insert(id, Job { request, attempts, ended: true, ..Job::default() });
+        }
+        heir.fleet.list_moved(true);
+        let ejected: Vec<_> =
+            heir.servers.iter().filter_map(|(&id, s)| Some((id, s.ejected?.saturating_sub(now)))).collect();
+        for (id, left) in ejected {
+            heir.alarm(Alarm::Trial(id), left, out);
+        }
+        heir
+    }
+}
