--- a/crates/accord/src/board.rs
+++ b/crates/accord/src/board.rs
@@ -116,7 +116,8 @@
         std::mem::take(&mut *self.words.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    pub(crate) fn allow(&self, permit: Permit) {
+    /// From now on requests are taken so. The machine says it; what plays a router may, too.
+    pub fn allow(&self, permit: Permit) {
         let epoch = permit.epoch;
         self.permit.store(Arc::new(permit));
         self.epoch.store(epoch, Ordering::Release);
--- a/crates/cli/src/ground.rs
+++ b/crates/cli/src/ground.rs
@@ -61,6 +61,24 @@
         verdict.handed_out_last,
         played.breaks.len()
     );
+    if let Some(policy) = &played.policy {
+        let mut took: Vec<Duration> = policy.changed_in.clone();
+        took.sort_unstable();
+        println!(
+            "  policy: {} changes in force, {} dropped, epoch {} at the end; in force after p50 {} ms, at most {} ms; overlap {} ms; \
+             {} requests taken, {} answered that the policy is not known",
+            policy.ended.0,
+            policy.ended.1,
+            policy.epoch,
+            at(&took, 0.5),
+            at(&took, 1.0),
+            policy.verdict.overlap.as_millis(),
+            policy.verdict.taken.values().sum::<usize>(),
+            policy.verdict.uncertain
+        );
+        policy.wrong.iter().for_each(|w| println!("  wrong: {w}"));
+        policy.verdict.broken.iter().take(10).for_each(|b| println!("  promise broken: {:?}, at {:?}: {}", b.promise, b.at, b.what));
+    }
     if verdict.late > Duration::ZERO {
         println!("  the schedule ran up to {} ms late: times are not judged", verdict.late.as_millis());
     }
@@ -86,6 +104,7 @@
         });
     }
     let (mut settled, mut detected, mut wrong) = (Vec::new(), Vec::new(), 0);
+    let (mut changed, mut overlap) = (Vec::new(), Duration::ZERO);
     let mut first = 1;
     for n in 0..args.seeds.max(1) {
         let seed = (args.seed.is_some() || n > 0).then(|| args.seed.unwrap_or(first) + n);
@@ -108,6 +127,10 @@
         }
         settled.extend(played.verdict.settled_in);
         detected.extend(played.verdict.detected_in.iter().copied());
+        if let Some(policy) = &played.policy {
+            changed.extend(policy.changed_in.iter().copied());
+            overlap = overlap.max(policy.verdict.overlap);
+        }
         wrong += usize::from(!played.is_well());
     }
     settled.sort_unstable();
@@ -121,6 +144,17 @@
         at(&detected, 0.99),
         at(&detected, 1.0)
     );
+    changed.sort_unstable();
+    if !changed.is_empty() {
+        println!(
+            "{} changes in force after p50 {} ms, p99 {} ms, at most {} ms; two epochs overlapped by {} ms at most",
+            changed.len(),
+            at(&changed, 0.5),
+            at(&changed, 0.99),
+            at(&changed, 1.0),
+            overlap.as_millis()
+        );
+    }
     if wrong > 0 {
         return Err(Failure::Run(format!("{wrong} runs with something wrong")));
     }
--- a/crates/ground/src/history.rs
+++ b/crates/ground/src/history.rs
@@ -2,6 +2,7 @@
 
 use crate::script::Kind;
 use slipreel_fleet::{State, View};
+use slipreel_rulecheck::policy::Said;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::Path;
@@ -63,6 +64,47 @@
     }
 }
 
+/// What one router told of the policy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct PolicySight {
+    /// The epoch that it acts by.
+    pub epoch: u64,
+    /// The text of its policy's digest.
+    pub digest: String,
+    /// Whether it takes requests by it.
+    pub serving: bool,
+    /// The change under way, as it knows.
+    pub pending: Option<String>,
+    /// Who votes, as it knows.
+    pub voters: Vec<String>,
+}
+
+impl PolicySight {
+    /// Of what `policy status --json` prints. `None`: that is not such an answer.
+    pub fn of_json(text: &str) -> Option<PolicySight> {
+        let value: serde_json::Value = serde_json::from_str(text).ok()?;
+        let voters = value["voters"].as_array()?;
+        Some(PolicySight {
+            epoch: value["epoch"].as_u64()?,
+            digest: value["digest"].as_str()?.to_owned(),
+            serving: value["serving"].as_bool()?,
+            pending: value["pending"]["id"].as_str().map(str::to_owned),
+            voters: voters.iter().filter_map(|v| v.as_str()).map(str::to_owned).collect(),
+        })
+    }
+}
+
+/// What `policy status ID --json` prints.
+pub(crate) fn said_of_json(text: &str) -> Option<Said> {
+    let value: serde_json::Value = serde_json::from_str(text).ok()?;
+    Some(match value["outcome"].as_str()? {
+        "in force" => Said::InForce(value["epoch"].as_u64()?),
+        "dropped" => Said::Dropped(value["why"].to_string()),
+        "pending" => Said::Pending,
+        _ => Said::Unknown,
+    })
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +123,12 @@
     Told(usize, Option<Sight>),
     /// What a second process of a router's name told.
     Twin(usize, Option<Sight>),
+    /// What a router told of the policy.
+    Policy(usize, Option<PolicySight>),
+    /// An operator said something of this id to a router, and whether the router has taken it.
+    Said(String, usize, bool),
+    /// What a router told of this id.
+    Heard(String, usize, String),
     /// The schedule ran so late, as the machine was busy.
     Late(Duration),
 }
@@ -92,6 +140,7 @@
     pub events: Vec<(Duration, Event)>,
     last: BTreeMap<usize, Option<Sight>>,
     last_twin: BTreeMap<usize, Option<Sight>>,
+    last_policy: BTreeMap<usize, Option<PolicySight>>,
 }
 
 #[derive(serde::Serialize)]
@@ -123,6 +172,21 @@
         }
     }
 
+    /// Notes what a router told of the policy, if it differs. Whether it does.
+    pub fn policy_told(&mut self, at: Duration, router: usize, sight: Option<PolicySight>) -> bool {
+        let differs = self.last_policy.get(&router) != Some(&sight);
+        if differs {
+            self.last_policy.insert(router, sight.clone());
+            self.events.push((at, Event::Policy(router, sight)));
+        }
+        differs
+    }
+
+    /// What a router told last of the policy.
+    pub fn policy_of(&self, router: usize) -> Option<&PolicySight> {
+        self.last_policy.get(&router)?.as_ref()
+    }
+
     /// Each time that a router began to call another gone: when, who, whom.
     pub fn gone_calls(&self) -> impl Iterator<Item = (Duration, usize, usize)> + '_ {
         let mut last: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
--- a/crates/ground/src/judge.rs
+++ b/crates/ground/src/judge.rs
@@ -131,6 +131,7 @@
                     }
                 }
             }
+            Event::Policy(..) | Event::Said(..) | Event::Heard(..) => {}
             Event::Late(late) => verdict.late = verdict.late.max(*late),
             Event::Twin(r, sight) => {
                 if sight.as_ref().is_some_and(|s| s.standing == "yielded") {
--- a/crates/ground/src/lib.rs
+++ b/crates/ground/src/lib.rs
@@ -8,9 +8,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod bend;
 mod history;
 mod judge;
 mod memory;
+mod own;
+mod platter;
+mod policy;
 mod processes;
 mod run;
 mod script;
@@ -21,5 +25,9 @@
 pub use memory::play_in_memory;
 pub use processes::{play_processes, Interrupt};
 pub use run::{Outcome, Phase};
-pub use script::{read_script, Fault, Kind, Script, KINDS, MOST, SITE};
+pub use bend::{Bend, BENDS};
+pub use memory::play_broken;
+pub use platter::Platter;
+pub use policy::PolicyOutcome;
+pub use script::{read_script, Expect, Fault, Kind, Propose, Script, Wish, KINDS, MOST, SITE};
 pub use wire::{Link, Links, Noise, Wire};
--- a/crates/ground/src/memory.rs
+++ b/crates/ground/src/memory.rs
@@ -1,21 +1,29 @@
 //! A run in virtual time: the same machines that the processes run, the same wire, engines and clients. The same script gives the same
 //! bytes.
 
-use crate::history::Sight;
+use crate::bend::{bent, Bend};
+use crate::history::{PolicySight, Sight};
+use crate::own;
+use crate::platter::Platter;
 use crate::run::{Director, Outcome, Stage, LEAD};
-use crate::script::Script;
+use crate::script::{Propose, Script, Wish};
 use crate::wire::{Link, Links, Noise, Wire};
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel_accord::book::Proposal;
+use slipreel_accord::wire::Word;
+use slipreel_accord::{Accord, Board as PolicyBoard, ByView, Cut, Made, Member, Permit, Stands, Start};
 use slipreel_fleet::{Board, Fleet, Kept, Peers, Settings};
 use slipreel_front::{Front, Sharing};
 use slipreel_machine::{Input, Machine, Output};
+use slipreel_rulecheck::policy::Said;
 use slipreel_standin::client::Clients;
 use slipreel_standin::engine::Engine;
 use slipreel_standin::ledger::Ledger;
 use slipreel_standin::memory::{Delays, World};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,8 +36,8 @@
 /// The machines of a run.
 enum Node {
     Idle,
-    Fleet(Box<Fleet>),
-    Front(Box<Front>),
+    Fleet(Box<Member>, Option<Bend>),
+    Front(Box<Front>, Option<Bend>),
     Engine(Box<Engine>),
     Clients(Box<Clients>),
     Wire(Box<Wire>),
@@ -39,8 +47,17 @@
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         match self {
             Node::Idle => {}
-            Node::Fleet(m) => m.handle(now, input, out),
-            Node::Front(m) => m.handle(now, input, out),
+            Node::Fleet(m, bend) => {
+                let mut place = Vec::new();
+                m.handle(now, bent(*bend, input, &mut place), out);
+            }
+            Node::Front(m, bend) => {
+                let from = out.len();
+                m.handle(now, input, out);
+                if let Some(bend) = bend {
+                    bend.outgoing(&mut out[from..]);
+                }
+            }
             Node::Engine(m) => m.handle(now, input, out),
             Node::Clients(m) => m.handle(now, input, out),
             Node::Wire(m) => m.handle(now, input, out),
@@ -50,8 +67,8 @@
     fn wake_at(&self) -> Option<Duration> {
         match self {
             Node::Idle => None,
-            Node::Fleet(m) => m.wake_at(),
-            Node::Front(m) => m.wake_at(),
+            Node::Fleet(m, _) => m.wake_at(),
+            Node::Front(m, _) => m.wake_at(),
             Node::Engine(m) => m.wake_at(),
             Node::Clients(m) => m.wake_at(),
             Node::Wire(m) => m.wake_at(),
@@ -70,6 +87,11 @@
     up: bool,
     odd_seeds: bool,
     twin: Option<(usize, Arc<Board>)>,
+    platter: Platter,
+    policy: Arc<PolicyBoard>,
+    /// When it is to act by the epoch before again, if it is broken so.
+    goes_back: Option<(Duration, Permit)>,
+    starts: u32,
 }
 
 struct InMemory<'a> {
@@ -81,6 +103,7 @@
     clients: Option<usize>,
     rng: Xoshiro256PlusPlus,
     twins: u16,
+    bend: Option<(Bend, Vec<usize>)>,
 }
 
 fn member_addr(r: usize) -> SocketAddr {
@@ -116,6 +139,92 @@
         }
     }
 
+    fn bend(&self, r: usize) -> Option<Bend> {
+        self.bend.as_ref().filter(|(_, whom)| whom.contains(&r)).map(|(bend, _)| *bend)
+    }
+
+    /// The settings file of a router.
+    fn own_text(&self, r: usize) -> String {
+        let addr = |port: u16| SocketAddr::from(([127, 2, 0, r as u8 + 1], port));
+        let own = own::Own {
+            clients: addr(8080),
+            operators: addr(9180),
+            fleet: member_addr(r),
+            seeds: Vec::new(),
+            folder: Path::new("kept"),
+            book: None,
+            engines: &self.engines,
+        };
+        own::settings(self.script, r, &own)
+    }
+
+    /// A router's part in the policy, from what stands on its disk.
+    fn accord(&mut self, r: usize, view: &Arc<Board>, now: Duration) -> Option<Accord> {
+        if self.script.founders == 0 {
+            return None;
+        }
+        let text = self.own_text(r);
+        let policy = slipreel_settings::policy_of(&text, "own").map(|p| p.text).unwrap_or_default();
+        let settings = slipreel_accord::Settings {
+            fleet: "ground".into(),
+            name: format!("r{r}"),
+            founders: (0..self.script.founders).map(|f| format!("r{f}")).collect(),
+            policy,
+            cut: self.script.cut,
+            datagram: self.script.datagram,
+        };
+        let attempt = move |policy: &str| match slipreel_settings::join(&text, "own", policy) {
+            Ok(daemon) => Ok(Arc::new(daemon.site) as Made),
+            Err(faults) => Err(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
+        };
+        let router = &self.routers[r];
+        let start = Start {
+            found: Some(slipreel_accord::shelf::read(&router.platter.found())),
+            disk: Box::new(router.platter.clone()),
+            attempt: Box::new(attempt),
+            others: Box::new(ByView(view.clone())),
+            seed: self.rng.next_u64(),
+            wall_ahead: WALL,
+            board: router.policy.clone(),
+        };
+        Some(Accord::new(settings, start, now))
+    }
+
+    /// What a broken router's front looks at in place of what the machine says.
+    fn misled(&mut self, r: usize, now: Duration) {
+        let made = slipreel_settings::parse(&self.own_text(r), "own").ok().map(|d| Arc::new(d.site) as Made);
+        let board = Arc::new(PolicyBoard::default());
+        board.allow(Permit { epoch: 1, until: now + Duration::from_secs(3_600), made, cut: Cut::Refuse });
+        self.world.news(self.routers[r].front, &board);
+    }
+
+    /// What broken routers do by themselves.
+    fn bend_now(&mut self, r: usize) {
+        let (now, bend) = (self.world.now(), self.bend(r));
+        let permit = self.routers[r].policy.permit();
+        match bend {
+            Some(Bend::GoesBack) if permit.epoch == 1 => {
+                self.routers[r].goes_back = Some((Duration::MAX, (*permit).clone()));
+            }
+            Some(Bend::GoesBack) if permit.epoch == 2 => {
+                let Some((at, old)) = self.routers[r].goes_back.take() else { return };
+                let at = at.min(now + Duration::from_secs(2));
+                if now < at {
+                    self.routers[r].goes_back = Some((at, old));
+                } else {
+                    let board = Arc::new(PolicyBoard::default());
+                    board.allow(Permit { until: now + Duration::from_secs(3_600), ..old });
+                    self.world.news(self.routers[r].front, &board);
+                }
+            }
+            // Its first council's file stands; nothing that is written from now on does.
+            Some(Bend::ForgetsVotes) if permit.epoch == 1 => self.routers[r].platter.stick(),
+            Some(Bend::NoSync) if permit.epoch == 1 => self.routers[r].platter.lie(),
+            Some(Bend::EmptySnapshot) => self.routers[r].platter.blank(),
+            _ => {}
+        }
+    }
+
     /// What `serve` does between two looks.
     fn shell(&mut self) {
         for r in 0..self.routers.len() {
@@ -126,6 +235,10 @@
             if !router.folder_gone {
                 router.folder = (*router.board.kept()).clone();
             }
+            if self.bend.is_some() {
+                self.bend_now(r);
+            }
+            let router = &mut self.routers[r];
             let routers = router.board.view().routers;
             if routers != router.routers {
                 router.routers = routers;
@@ -154,13 +267,21 @@
         let now = self.world.now();
         if fresh {
             self.routers[r].folder = Kept::default();
+            self.routers[r].platter.lose();
         }
+        self.routers[r].policy = Arc::default();
+        self.routers[r].starts += 1;
         let board = Arc::new(Board::default());
         let seed = self.rng.next_u64();
         let peers = self.peers(r);
         let kept = self.routers[r].folder.clone();
         let member = Fleet::new(self.settings(r, member_addr(r)), peers, &kept, seed, now, board.clone());
+        let member = Member::new(member, self.accord(r, &board, now));
+        let bend = self.bend(r);
         let mut site = self.script.day.router_site(r, &self.engines);
+        if let (true, Ok(daemon)) = (self.script.founders > 0, slipreel_settings::parse(&self.own_text(r), "own")) {
+            site = daemon.site;
+        }
         site.settings.routers = self.script.floor;
         site.name = format!("r{r}");
         let front = Front::new(Arc::new(site), self.rng.next_u64(), now, WALL + now);
@@ -171,13 +292,20 @@
         }
         let (fleet_at, front_at, routers) = (router.fleet, router.front, router.routers);
         for (at, node) in
-            [(fleet_at, Node::Fleet(Box::new(member))), (front_at, Node::Front(Box::new(front)))]
+            [(fleet_at, Node::Fleet(Box::new(member), bend)), (front_at, Node::Front(Box::new(front), bend))]
         {
             self.world.kill(at);
             self.world.revive(at, node);
         }
         self.world.news(front_at, &board);
         self.world.news(front_at, &Sharing(routers));
+        if self.script.founders > 0 {
+            let policy = self.routers[r].policy.clone();
+            self.world.news(front_at, &policy);
+        }
+        if bend == Some(Bend::Eager) && self.routers[r].starts > 1 {
+            self.misled(r, now);
+        }
         Ok(())
     }
 
@@ -213,7 +341,8 @@
             let now = self.world.now();
             let settings = self.settings(r, address);
             let member = Fleet::new(settings, peers, &Kept::default(), seed, now, board.clone());
-            let node = self.world.add(Node::Fleet(Box::new(member)), &[address]);
+            let member = Member::new(member, None);
+            let node = self.world.add(Node::Fleet(Box::new(member), None), &[address]);
             self.world.open_mailboxes(node, &[address]);
             self.routers[r].twin = Some((node, board));
         }
@@ -222,7 +351,9 @@
 
     fn folder(&mut self, r: usize, gone: bool) {
         self.routers[r].folder_gone = gone;
+        self.routers[r].platter.fill(gone);
         if gone {
+            self.routers[r].platter.lose();
             self.routers[r].folder = Kept::default();
         }
     }
@@ -249,6 +380,53 @@
         self.routers[r].twin.as_ref().map(|(_, board)| Sight::of_view(&board.view()))
     }
 
+    fn policy_sight(&mut self, r: usize) -> Option<PolicySight> {
+        let (shown, permit) = (self.routers[r].policy.shown(), self.routers[r].policy.permit());
+        Some(PolicySight {
+            epoch: shown.epoch,
+            digest: format!("{:016x}", shown.digest),
+            serving: permit.holds(self.world.now()),
+            pending: shown.pending.as_ref().map(|(id, _)| id.clone()),
+            voters: shown.voters.clone(),
+        })
+    }
+
+    fn propose(&mut self, propose: &Propose) -> bool {
+        let (id, from) = (propose.id.clone(), format!("r{}", propose.to));
+        let board = &self.routers[propose.to].policy;
+        let word = match propose.wish {
+            Wish::Replace(r) => Word::Replace { old: format!("r{r}"), new: None },
+            Wish::Back(epoch) => match board.shown().back_to(epoch, id, 0) {
+                Some(p) => Word::Propose(p),
+                None => return false,
+            },
+            Wish::Change | Wish::Bad => match own::policy(self.script, propose) {
+                Some(text) => Word::Propose(Proposal { id, text, from, wall: 0, on: 0, back: None }),
+                None => return false,
+            },
+        };
+        board.say(word)
+    }
+
+    fn heard(&mut self, r: usize, id: &str) -> Option<Said> {
+        let said = match self.routers[r].policy.shown().stands(id) {
+            Stands::InForce(epoch) => Said::InForce(epoch),
+            Stands::Dropped(_) if self.bend(r) == Some(Bend::Liar) => Said::InForce(99),
+            Stands::Dropped(o) => Said::Dropped(format!("{:?}", o.noes)),
+            Stands::Pending(_) => Said::Pending,
+            Stands::Unknown => Said::Unknown,
+        };
+        Some(said)
+    }
+
+    fn fill(&mut self, r: usize, full: bool) {
+        self.routers[r].platter.fill(full);
+    }
+
+    fn tear(&mut self, r: usize) {
+        self.routers[r].platter.tear();
+    }
+
     fn clients_done(&self) -> bool {
         match self.clients.map(|c| self.world.machine(c)) {
             Some(Node::Clients(c)) => c.left() == 0,
@@ -262,6 +440,18 @@
 /// # Errors
 /// None so far: a router always starts here.
 pub fn play_in_memory(script: &Script) -> Result<Outcome, String> {
+    play(script, None)
+}
+
+/// Plays it with some routers broken on purpose.
+///
+/// # Errors
+/// None so far.
+pub fn play_broken(script: &Script, bend: Bend, whom: &[usize]) -> Result<Outcome, String> {
+    play(script, Some((bend, whom.to_vec())))
+}
+
+fn play(script: &Script, bend: Option<(Bend, Vec<usize>)>) -> Result<Outcome, String> {
     let ledger = Ledger::default();
     let n = script.routers;
     let addr = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
@@ -289,6 +479,10 @@
             up: false,
             odd_seeds: false,
             twin: None,
+            platter: Platter::default(),
+            policy: Arc::default(),
+            goes_back: None,
+            starts: 0,
         });
     }
     let ways: Vec<SocketAddr> = Wire::ways(n).map(|(from, to)| wire_addr(from, to)).collect();
@@ -302,7 +496,7 @@
         world.add(Node::Clients(Box::new(Clients::new(plans, targets, ledger.clone(), true))), &[])
     });
     let rng = Xoshiro256PlusPlus::seed_from_u64(script.seed ^ 0x11fe);
-    let mut stage = InMemory { world, script, routers, engines, wire, clients, rng, twins: 0 };
+    let mut stage = InMemory { world, script, routers, engines, wire, clients, rng, twins: 0, bend };
     let mut director = Director::new(script, ledger.clone(), START);
     director.run(&mut stage)?;
     let results = match clients.map(|c| stage.world.machine(c)) {
--- /dev/null
+++ b/crates/ground/src/platter.rs
@@ -0,0 +1,96 @@
+//! A disk in memory: it keeps what was synced when its process is killed, and fails as disks do.
+
+use slipreel_accord::log::frame;
+use slipreel_accord::Disk;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+#[derive(Default)]
+struct Inside {
+    synced: Vec<u8>,
+    written: Vec<u8>,
+    full: bool,
+    /// It says that it has synced and has not: for proving that somebody notices.
+    lies: bool,
+    /// It keeps its first file for ever: for proving that somebody notices.
+    stuck: bool,
+    /// It keeps no more of a whole file than which disk it is: for proving that somebody notices.
+    blank: bool,
+}
+
+/// A disk that outlives its process.
+#[derive(Clone, Default)]
+pub struct Platter(Arc<Mutex<Inside>>);
+
+impl Platter {
+    fn inside(&self) -> MutexGuard<'_, Inside> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What a new process finds: what was synced before the last one ended.
+    pub fn found(&self) -> Vec<u8> {
+        let mut inside = self.inside();
+        inside.written = inside.synced.clone();
+        inside.synced.clone()
+    }
+
+    /// Everything on it is lost.
+    pub fn lose(&self) {
+        let mut inside = self.inside();
+        (inside.synced, inside.written) = (Vec::new(), Vec::new());
+    }
+
+    /// It takes no writes any more, or does again.
+    pub fn fill(&self, full: bool) {
+        self.inside().full = full;
+    }
+
+    /// Its process has ended in the midst of a write.
+    pub fn tear(&self) {
+        let half = frame(&[7; 40]);
+        self.inside().synced.extend(&half[..29]);
+    }
+
+    /// From now on it forgets at a crash what it said that it had synced.
+    pub fn lie(&self) {
+        self.inside().lies = true;
+    }
+
+    /// From now on it keeps no more of a whole file than which disk it is.
+    pub fn blank(&self) {
+        self.inside().blank = true;
+    }
+
+    /// From now on it keeps what it has.
+    pub fn stick(&self) {
+        self.inside().stuck = true;
+    }
+}
+
+impl Disk for Platter {
+    fn append(&mut self, bytes: &[u8], sync: bool) -> Result<(), String> {
+        let mut inside = self.inside();
+        if inside.full {
+            return Err("no space left on device".into());
+        }
+        inside.written.extend(bytes);
+        if sync && !inside.lies && !inside.stuck {
+            inside.synced = inside.written.clone();
+        }
+        Ok(())
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> Result<(), String> {
+        let mut inside = self.inside();
+        if inside.full {
+            return Err("no space left on device".into());
+        }
+        let first = slipreel_accord::log::frames(bytes).ok().and_then(|(all, _)| all.get(1).map(|(at, _)| *at));
+        let upto = first.filter(|_| inside.blank).unwrap_or(bytes.len());
+        let bytes = &bytes[..upto];
+        inside.written = bytes.to_vec();
+        if !inside.lies && !inside.stuck {
+            inside.synced = bytes.to_vec();
+        }
+        Ok(())
+    }
+}
--- a/crates/ground/src/processes.rs
+++ b/crates/ground/src/processes.rs
@@ -1,17 +1,19 @@
 //! A run with processes of the built program over loopback: the routers are started, signalled and ended by their ids; wire, engines and
 //! clients are threads of this process. Whatever happens, no process is left.
 
-use crate::history::Sight;
+use crate::history::{PolicySight, Sight};
+use crate::own;
 use crate::run::{Director, Outcome, Stage, LEAD};
-use crate::script::Script;
+use crate::history::said_of_json;
+use crate::script::{Propose, Script, Wish};
+use slipreel_rulecheck::policy::Said;
 use crate::wire::{Link, Links, Noise, Wire};
 use rustix::process::{kill_process, Pid, Signal};
 use slipreel_machine::Machine;
 use slipreel_net::{Clock, Command as Tell, Handle, Loop, NodeId};
 use slipreel_standin::client::Clients;
-use slipreel_standin::engine::{Engine, Role};
+use slipreel_standin::engine::Engine;
 use slipreel_standin::ledger::Ledger;
-use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -94,37 +96,19 @@
         let n = self.script.routers;
         let way = |to: usize| if by_wire { wire_addr(self.block, r, to) } else { self.addr(to, 7000) };
         let seeds = (0..n).filter(|to| *to != r && (!by_wire || *to < self.script.seeds));
-        let mut seeds: Vec<String> = seeds.map(|to| way(to).to_string()).collect();
+        let mut seeds: Vec<SocketAddr> = seeds.map(way).collect();
         if self.odd_seeds[r] {
-            seeds.push(SocketAddr::from(([127, 0, 0, 1], 1)).to_string());
+            seeds.push(SocketAddr::from(([127, 0, 0, 1], 1)));
         }
         let [clients, operators, fleet] = listen;
-        let mut text = format!(
-            "[router]\nlisten = {clients}\noperators = {operators}\nname = r{r}\nrouters = {}\nzone = west\n\
-             [fleet]\nfleet = ground\nlisten = {fleet}\nseeds = {}\nfolder = {}\ndatagram = {}\n",
-            self.script.floor,
-            seeds.join(", "),
-            home.join("kept").display(),
-            self.script.datagram
-        );
+        let (folder, book) = (home.join("kept"), home.join("book"));
         if by_wire {
-            let _ = writeln!(text, "book = {}", home.join("book").display());
-            let book = (0..n).filter(|to| *to != r).map(|to| format!("r{to} = {}\n", way(to)));
-            std::fs::write(home.join("book"), book.collect::<String>())?;
+            let lines = (0..n).filter(|to| *to != r).map(|to| format!("r{to} = {}\n", way(to)));
+            std::fs::write(&book, lines.collect::<String>())?;
         }
-        for (plan, at) in self.script.day.engines.iter().zip(&self.engines) {
-            let role = match plan.spec.role {
-                Role::Read => "read",
-                Role::Write => "write",
-                Role::Both => "both",
-            };
-            let (name, zone, cell) = (&plan.spec.name, &plan.zone, &plan.cell);
-            let _ = writeln!(
-                text,
-                "[engine {name}]\naddress = {at}\nrole = {role}\nzone = {zone}\ncell = {cell}"
-            );
-        }
-        text += &self.script.site_text;
+        let book = by_wire.then_some(book.as_path());
+        let own = own::Own { clients, operators, fleet, seeds, folder: &folder, book, engines: &self.engines };
+        let text = own::settings(self.script, r, &own);
         std::fs::write(home.join("settings.ini"), text)
     }
 
@@ -174,14 +158,24 @@
     SocketAddr::from(([127, block + 1, from as u8 + 1, to as u8 + 1], 7000))
 }
 
-/// Asks a router's operators' port for its view.
-fn ask(at: SocketAddr) -> Option<Sight> {
+/// Asks a router's operators' port; gives status and body.
+fn call(at: SocketAddr, method: &str, path: &str, said: &str) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&at, ANSWER).ok()?;
     stream.set_read_timeout(Some(ANSWER)).ok()?;
-    stream.write_all(b"GET /fleet/status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{said}",
+        said.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
     let mut text = String::new();
     stream.take(4 << 20).read_to_string(&mut text).ok()?;
-    Sight::of_json(text.split_once("\r\n\r\n")?.1)
+    let status = text.get(9..12)?.parse().ok()?;
+    Some((status, text.split_once("\r\n\r\n")?.1.to_owned()))
+}
+
+/// Asks a router's operators' port for its view.
+fn ask(at: SocketAddr) -> Option<Sight> {
+    Sight::of_json(&call(at, "GET", "/fleet/status", "")?.1)
 }
 
 impl Stage for Processes<'_> {
@@ -288,6 +282,50 @@
         ask(self.addr(r, 9180))
     }
 
+    fn policy_sight(&mut self, r: usize) -> Option<PolicySight> {
+        PolicySight::of_json(&call(self.addr(r, 9180), "GET", "/policy/status", "")?.1)
+    }
+
+    fn propose(&mut self, propose: &Propose) -> bool {
+        let (path, said) = match &propose.wish {
+            Wish::Change | Wish::Bad => {
+                let Some(text) = own::policy(self.script, propose) else { return false };
+                (format!("/policy/propose/{}", propose.id), text)
+            }
+            Wish::Back(epoch) => (format!("/policy/rollback/{}/{epoch}", propose.id), String::new()),
+            Wish::Replace(r) => (format!("/policy/replace/r{r}"), String::new()),
+        };
+        call(self.addr(propose.to, 9180), "POST", &path, &said).is_some_and(|(status, _)| status == 202)
+    }
+
+    fn heard(&mut self, r: usize, id: &str) -> Option<Said> {
+        said_of_json(&call(self.addr(r, 9180), "GET", &format!("/policy/status/{id}"), "")?.1)
+    }
+
+    fn fill(&mut self, r: usize, full: bool) {
+        let kept = self.folder_of(r).join("kept");
+        let (file, new, aside) = (kept.join("accord"), kept.join("accord.new"), kept.join("accord.aside"));
+        // Writes go to a device that has no room; what was kept waits aside.
+        let _ = if full {
+            std::fs::rename(&file, &aside)
+                .and_then(|()| std::os::unix::fs::symlink("/dev/full", &file))
+                .and_then(|()| std::os::unix::fs::symlink("/dev/full", &new))
+        } else {
+            let _ = std::fs::remove_file(&new);
+            let _ = std::fs::remove_file(&file);
+            std::fs::rename(&aside, &file)
+        };
+    }
+
+    fn tear(&mut self, r: usize) {
+        let file = self.folder_of(r).join("kept").join("accord");
+        // A frame that says more than follows it: the process ended in the midst of its write.
+        let half = &slipreel_accord::log::frame(&[7; 40])[..29];
+        if let Ok(mut file) = std::fs::File::options().append(true).open(file) {
+            let _ = file.write_all(half);
+        }
+    }
+
     fn twin_sight(&mut self, r: usize) -> Option<Sight> {
         self.twins[r].as_ref().and_then(|_| ask(self.addr(r, 9181)))
     }
--- a/crates/ground/src/run.rs
+++ b/crates/ground/src/run.rs
@@ -1,12 +1,14 @@
 //! Plays a script on a stage: does what it says at its times, asks every router what it sees, keeps the history.
 
-use crate::history::{Event, History, Sight};
+use crate::history::{Event, History, PolicySight, Sight};
 use crate::judge::{judge, Verdict, LATE};
-use crate::script::{Fault, Kind, Script};
+use crate::policy::{self, PolicyOutcome, Track};
+use crate::script::{Fault, Kind, Propose, Script, Wish};
 use crate::wire::Link;
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use slipreel_day::figures_of;
+use slipreel_rulecheck::policy::Said;
 use slipreel_rulecheck::{Break, Record, Seen};
 use slipreel_standin::client::Result as TryResult;
 use slipreel_standin::ledger::Ledger;
@@ -32,12 +34,15 @@
     pub log: Vec<String>,
     /// In memory: a hash over every byte; the same for the same script.
     pub digest: u64,
+    /// What the judge found of the policy, where one is agreed on.
+    pub policy: Option<PolicyOutcome>,
 }
 
 impl Outcome {
     /// Whether nothing is wrong.
     pub fn is_well(&self) -> bool {
-        self.verdict.wrong.is_empty() && self.breaks.is_empty()
+        let policy = self.policy.as_ref().is_none_or(PolicyOutcome::is_well);
+        self.verdict.wrong.is_empty() && self.breaks.is_empty() && policy
     }
 }
 
@@ -69,6 +74,16 @@
     fn noise(&mut self, router: usize, bytes: Vec<u8>);
     fn sight(&mut self, router: usize) -> Option<Sight>;
     fn twin_sight(&mut self, router: usize) -> Option<Sight>;
+    /// What a router tells of the policy.
+    fn policy_sight(&mut self, router: usize) -> Option<PolicySight>;
+    /// An operator says something to a router; whether it has taken it.
+    fn propose(&mut self, propose: &Propose) -> bool;
+    /// What a router says of a change.
+    fn heard(&mut self, router: usize, id: &str) -> Option<Said>;
+    /// A router's disk has no room any more, or has again.
+    fn fill(&mut self, router: usize, full: bool);
+    /// A router that was killed had begun a write.
+    fn tear(&mut self, router: usize);
     fn clients_done(&self) -> bool;
 }
 
@@ -86,6 +101,7 @@
     /// Times in which a router could not answer, for judging clients' tries.
     away: Vec<(usize, Duration, Duration)>,
     since: BTreeMap<usize, Duration>,
+    tracks: Vec<Track>,
 }
 
 enum Step {
@@ -108,6 +124,7 @@
             rng: Xoshiro256PlusPlus::seed_from_u64(script.seed ^ 0x9e37),
             away: Vec::new(),
             since: BTreeMap::new(),
+            tracks: script.proposals.iter().cloned().map(Track::new).collect(),
         }
     }
 
@@ -158,6 +175,7 @@
                 return Ok(false);
             }
         }
+        self.ask_all(stage);
         // State that nobody took has to be let go of: what the rules allow, and a little.
         let last = stage.now() + self.script.day.site.settings.let_go_within * 4;
         if !stage.until(last) {
@@ -186,6 +204,7 @@
                 self.history.told(stage.now() - self.zero, r, sight);
             }
         }
+        self.look_at_policy(stage);
         let twins: BTreeSet<usize> = self.holding(Kind::Twin).flat_map(|f| f.whom.clone()).collect();
         for r in twins {
             let sight = stage.twin_sight(r);
@@ -193,6 +212,74 @@
         }
     }
 
+    fn look_at_policy(&mut self, stage: &mut impl Stage) {
+        if self.script.founders == 0 {
+            return;
+        }
+        for r in (0..self.script.routers).filter(|r| self.phases[*r] == Phase::Up) {
+            let sight = stage.policy_sight(r);
+            let now = stage.now();
+            if self.history.policy_told(now - self.zero, r, sight.clone()) {
+                if let Some(PolicySight { epoch, digest, .. }) = sight {
+                    self.ledger.note(now, Seen::ActsBy { router: format!("r{r}"), epoch, digest });
+                }
+            }
+        }
+        for n in 0..self.tracks.len() {
+            self.follow(stage, n);
+        }
+    }
+
+    /// Says a proposal until it is taken, asks what came of it, and says it again when that is known.
+    fn follow(&mut self, stage: &mut impl Stage, n: usize) {
+        let now = stage.now() - self.zero;
+        let propose = self.tracks[n].propose.clone();
+        if now < propose.at || self.phases[propose.to] != Phase::Up || self.tracks[n].is_done() {
+            return;
+        }
+        if self.tracks[n].taken.is_none() {
+            let taken = stage.propose(&propose);
+            self.note(stage, Event::Said(propose.id.clone(), propose.to, taken));
+            if taken {
+                self.tracks[n].taken = Some(stage.now() - self.zero);
+            }
+        }
+        if matches!(propose.wish, Wish::Replace(_)) {
+            return;
+        }
+        if let (Some(taken), Some(said)) = (self.tracks[n].taken, stage.heard(propose.to, &propose.id)) {
+            self.hear(stage, propose.to, &propose.id, &said);
+            if matches!(said, Said::InForce(_) | Said::Dropped(_)) {
+                let took = (stage.now() - self.zero).saturating_sub(taken);
+                let first = self.tracks[n].ended(said, took);
+                if first {
+                    stage.propose(&propose);
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, stage: &impl Stage, r: usize, id: &str, said: &Said) {
+        let (router, id) = (format!("r{r}"), id.to_owned());
+        self.note(stage, Event::Heard(id.clone(), r, format!("{said:?}")));
+        self.ledger.note(stage.now(), Seen::Heard { router, id, said: said.clone() });
+    }
+
+    /// At the end everybody is asked of every change.
+    fn ask_all(&mut self, stage: &mut impl Stage) {
+        let ids: Vec<String> = self.tracks.iter().filter(|t| t.is_a_change()).map(|t| t.propose.id.clone()).collect();
+        for r in (0..self.script.routers).filter(|r| self.phases[*r] == Phase::Up).collect::<Vec<_>>() {
+            for (n, id) in ids.iter().enumerate() {
+                if let Some(said) = stage.heard(r, id) {
+                    self.hear(stage, r, id, &said);
+                    if let (Some(t), Said::InForce(_) | Said::Dropped(_)) = (self.tracks.get_mut(n), &said) {
+                        t.known = true;
+                    }
+                }
+            }
+        }
+    }
+
     fn holding(&self, kind: Kind) -> impl Iterator<Item = &Fault> {
         self.held.iter().map(|n| &self.script.faults[*n]).filter(move |f| f.kind == kind)
     }
@@ -231,7 +318,7 @@
         for &r in &fault.whom {
             let up = self.phases[r] == Phase::Up;
             match fault.kind {
-                Kind::Kill | Kind::KillLost | Kind::Die if self.phases[r] != Phase::Down => {
+                Kind::Kill | Kind::KillLost | Kind::KillTorn | Kind::Die if self.phases[r] != Phase::Down => {
                     stage.kill(r);
                     self.phases[r] = Phase::Down;
                     self.gone(stage, r);
@@ -252,6 +339,7 @@
                 }
                 Kind::Twin => stage.twin(r, true)?,
                 Kind::FolderGone => stage.folder(r, true),
+                Kind::DiskFull => stage.fill(r, true),
                 Kind::Reload if up => stage.reload(r),
                 Kind::Noise => self.noise(stage, r),
                 _ => {}
@@ -268,6 +356,11 @@
             match fault.kind {
                 Kind::Kill | Kind::Leave => self.start(stage, r, false)?,
                 Kind::KillLost => self.start(stage, r, true)?,
+                Kind::KillTorn => {
+                    stage.tear(r);
+                    self.start(stage, r, false)?;
+                }
+                Kind::DiskFull => stage.fill(r, false),
                 Kind::Stop if self.phases[r] == Phase::Still => {
                     stage.freeze(r, false);
                     self.phases[r] = Phase::Up;
@@ -385,6 +478,9 @@
             .filter(|b| b.of.is_none_or(|what| !excused(&what)))
             .collect();
         let verdict = judge(self.script, &self.history);
-        Outcome { history: self.history, verdict, breaks, results, log, digest }
+        let up: Vec<usize> = (0..self.script.routers).filter(|r| self.phases[*r] == Phase::Up).collect();
+        let policy = (self.script.founders > 0)
+            .then(|| policy::judge(self.script, &self.history, &records, &self.tracks, &up));
+        Outcome { history: self.history, verdict, breaks, results, log, digest, policy }
     }
 }
--- a/crates/ground/src/script.rs
+++ b/crates/ground/src/script.rs
@@ -5,6 +5,7 @@
 
 use rand_xoshiro::rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use slipreel_accord::Cut;
 use slipreel_day::{read_day_parts, Day, DAY_SECTIONS};
 use slipreel_settings::{Doc, Fault as Wrong, Value};
 use std::time::Duration;
@@ -45,6 +46,10 @@
     FolderGone,
     /// Its book and seeds change, and it is told by SIGHUP.
     Reload,
+    /// What a voter keeps can't be written any more: the disk is full.
+    DiskFull,
+    /// SIGKILL while a write was half done; started again at the end.
+    KillTorn,
 }
 
 /// All kinds by name.
@@ -65,6 +70,8 @@
     ("twin", Kind::Twin),
     ("folder_gone", Kind::FolderGone),
     ("reload", Kind::Reload),
+    ("disk_full", Kind::DiskFull),
+    ("kill_torn", Kind::KillTorn),
 ];
 
 impl Value for Kind {
@@ -95,6 +102,72 @@
     pub delay: Duration,
 }
 
+/// What an operator does about the policy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// A policy that every router can take.
+    Change,
+    /// One that the poor router can't take: it takes out an engine without which that one has no reader.
+    Bad,
+    /// The policy of an earlier epoch again.
+    Back(u64),
+    /// A voter, by number, is gone for good.
+    Replace(usize),
+}
+
+/// What has to come of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expect {
+    /// It holds, or never did.
+    Either,
+    /// It holds.
+    InForce,
+    /// It is dropped.
+    Dropped,
+}
+
+/// An operator's word to one router. It is said until the router has taken it, and once more under its id when that is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Propose {
+    /// Its id: the name of its section.
+    pub id: String,
+    /// When it is first said.
+    pub at: Duration,
+    /// To which router.
+    pub to: usize,
+    /// What.
+    pub wish: Wish,
+    /// What has to come of it.
+    pub expect: Expect,
+}
+
+impl Value for Expect {
+    const EXPECTED: &'static str = "either, in_force or dropped";
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "either" => Ok(Expect::Either),
+            "in_force" => Ok(Expect::InForce),
+            "dropped" => Ok(Expect::Dropped),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+impl Value for Wish {
+    const EXPECTED: &'static str = "change, bad, back EPOCH or replace ROUTER";
+    fn read(text: &str) -> Result<Self, String> {
+        let (word, number) = text.split_once(' ').unwrap_or((text, ""));
+        let number = number.trim().parse::<u64>();
+        match (word, number) {
+            ("change", Err(_)) => Ok(Wish::Change),
+            ("bad", Err(_)) => Ok(Wish::Bad),
+            ("back", Ok(epoch)) => Ok(Wish::Back(epoch)),
+            ("replace", Ok(router)) => Ok(Wish::Replace(router as usize)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 /// A run.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -128,6 +201,14 @@
     pub site_text: String,
     /// Whether clients ask.
     pub traffic: bool,
+    /// How many of the first routers found a policy; 0: none is agreed on.
+    pub founders: usize,
+    /// What a router does that can't know whether its policy holds.
+    pub cut: Cut,
+    /// A router that lists one reader and one writer alone.
+    pub poor: Option<usize>,
+    /// What operators do about the policy, in order.
+    pub proposals: Vec<Propose>,
 }
 
 /// A share from 0 to 1.
@@ -162,7 +243,7 @@
 pub const MOST: usize = 64;
 
 /// The sections that only a script has.
-const OWN_SECTIONS: [&str; 2] = ["ground", "fault"];
+const OWN_SECTIONS: [&str; 3] = ["ground", "fault", "propose"];
 
 /// A site with some readers and writers and little traffic, for scripts that bring none.
 pub const SITE: &str = include_str!("site.ini");
@@ -208,6 +289,7 @@
             delay: doc.or(Some(at), "delay", Duration::from_millis(100)),
         });
     }
+    let changes = doc.or(at, "changes", 0usize);
     let script = Script {
         seed,
         routers,
@@ -222,6 +304,10 @@
         datagram: doc.or(at, "datagram", 1_200usize),
         faults: Vec::new(),
         traffic: doc.or(at, "traffic", true),
+        founders: doc.or(at, "founders", 0usize).min(routers).min(slipreel_accord::pace::VOTERS),
+        cut: doc.or(at, "cut", Cut::Refuse),
+        poor: doc.or(at, "poor", Whom(Vec::new())).0.first().copied(),
+        proposals: read_proposals(&mut doc, routers),
         site_text: site_of(&whole),
         day: match read_day_parts(&mut doc) {
             Some(day) => day,
@@ -231,9 +317,30 @@
     doc.finish(&known())?;
     let mut script = Script { faults, ..script }.with_seed(seed);
     script.draw(random);
+    script.draw_changes(changes);
     Ok(script)
 }
 
+fn read_proposals(doc: &mut Doc, routers: usize) -> Vec<Propose> {
+    let mut all = Vec::new();
+    for at in doc.all("propose") {
+        let id = doc.section(at).name.clone();
+        let to = doc.or(Some(at), "to", 0usize);
+        if to >= routers {
+            doc.say(at, "to", format!("{to}: expected 0 to {}", routers.saturating_sub(1)));
+        }
+        all.push(Propose {
+            id,
+            to,
+            at: doc.or(Some(at), "at", Duration::from_secs(10)),
+            wish: doc.or(Some(at), "wish", Wish::Change),
+            expect: doc.or(Some(at), "expect", Expect::Either),
+        });
+    }
+    all.sort_by_key(|p| p.at);
+    all
+}
+
 fn known() -> Vec<&'static str> {
     DAY_SECTIONS.iter().chain(&OWN_SECTIONS).copied().collect()
 }
@@ -275,12 +382,28 @@
         let mut below = |n: u64| rng.next_u64() % n.max(1);
         let ms = Duration::from_millis;
         let ends = |k: Kind| {
-            matches!(k, Kind::Kill | Kind::KillLost | Kind::Leave | Kind::Stop | Kind::Twin | Kind::Die)
+            matches!(
+                k,
+                Kind::Kill
+                    | Kind::KillLost
+                    | Kind::KillTorn
+                    | Kind::DiskFull
+                    | Kind::Leave
+                    | Kind::Stop
+                    | Kind::Twin
+                    | Kind::Die
+            )
         };
         for _ in 0..faults {
             let kind = KINDS[below(KINDS.len() as u64) as usize].1;
             // These are for scripts that say so: the fleet is to be whole at the start and at the end.
             let kind = if matches!(kind, Kind::Die | Kind::Late) { Kind::Kill } else { kind };
+            // Where voters are, a folder that is lost while its process runs is a disk that forgets what it was told to keep.
+            let kind = match kind {
+                Kind::FolderGone | Kind::Twin if self.founders > 0 => Kind::KillTorn,
+                Kind::DiskFull if self.founders == 0 => Kind::Kill,
+                kind => kind,
+            };
             let span = self.length.saturating_sub(ms(5_000)).as_millis() as u64;
             let (at, lasts) = (ms(3_000 + below(span)), ms(200 + below(5_000)));
             let many = if below(3) == 0 { 1 + below(self.routers as u64 / 3) } else { 1 };
@@ -304,6 +427,30 @@
     }
 }
 
+impl Script {
+    /// Adds changes of policy drawn from the seed: at any time, to any router, now and then a bad one or a way back.
+    pub fn draw_changes(&mut self, changes: usize) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(self.seed ^ 0xc4a6);
+        let mut below = |n: u64| rng.next_u64() % n.max(1);
+        for n in 0..changes {
+            let span = self.length.saturating_sub(Duration::from_secs(4)).as_millis() as u64;
+            let wish = match below(6) {
+                0 if self.poor.is_some() => Wish::Bad,
+                1 => Wish::Back(1),
+                _ => Wish::Change,
+            };
+            self.proposals.push(Propose {
+                id: format!("drawn-{n}"),
+                at: Duration::from_millis(3_000 + below(span)),
+                to: below(self.routers as u64) as usize,
+                wish,
+                expect: Expect::Either,
+            });
+        }
+        self.proposals.sort_by_key(|p| p.at);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod policy;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
@@ -154,6 +156,35 @@
     RunOver,
     /// A cold engine was sent more than it bears and fell over.
     Fell(String),
+    /// A call to an engine, or an answer to a client, named the epoch of policy by which the request was taken, or none.
+    Stamped {
+        /// The router.
+        router: String,
+        /// Which.
+        what: Try,
+        /// The epoch.
+        epoch: Option<u64>,
+        /// On what it stood.
+        on: policy::On,
+    },
+    /// What an operator heard from a router of a change.
+    Heard {
+        /// The router.
+        router: String,
+        /// The change.
+        id: String,
+        /// What it said.
+        said: policy::Said,
+    },
+    /// What an operator heard from a router of the policy that it acts by.
+    ActsBy {
+        /// The router.
+        router: String,
+        /// The epoch.
+        epoch: u64,
+        /// Of the policy.
+        digest: String,
+    },
 }
 
 /// What was seen and when.
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -111,6 +111,8 @@
     if engines.is_empty() && engines_file.is_none() && serves {
         doc.say_file("expected [engine NAME] sections, or `engines` in [router]");
     }
+    let taken_out = read_taken_out(doc);
+    check_taken_out(doc, &engines, &taken_out);
     let models = read_models(doc, &class_sites);
     let bounds = read_bounds(doc);
     let settings = read_settings(doc, router, others, classes, tenants);
@@ -121,7 +123,7 @@
         tenants: tenant_sites,
         engines,
         bounds,
-        taken_out: read_taken_out(doc),
+        taken_out,
         roles_frozen: read_roles_frozen(doc),
         zone: doc.or(router, "zone", Name("default".into())).0,
         name: doc.or(router, "name", Name("slipreel".into())).0,
@@ -297,6 +299,18 @@
     names
 }
 
+/// Some engine that reads and some that writes have to be left, of those that this router lists.
+fn check_taken_out(doc: &mut Doc, engines: &[EngineSite], taken_out: &[String]) {
+    let Some(at) = doc.one("operations").filter(|_| !engines.is_empty()) else { return };
+    for (role, what) in [(Role::Read, "reads"), (Role::Write, "writes")] {
+        let can = |e: &&EngineSite| e.role == role || e.role == Role::Both;
+        if !engines.iter().filter(can).any(|e| !taken_out.contains(&e.name)) {
+            let why = format!("{}: expected an engine that {what} to be left, of those listed here", taken_out.join(", "));
+            doc.say(at, "taken_out", why);
+        }
+    }
+}
+
 fn read_roles_frozen(doc: &mut Doc) -> bool {
     let at = doc.one("operations");
     doc.or(at, "roles_frozen", false)
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -68,6 +68,9 @@
     fallen: bool,
 }
 
+/// The field that names the epoch of policy by which a request was taken.
+const POLICY: &str = "x-slipreel-policy";
+
 impl Engine {
     /// An engine that starts at `now`, empty and cold. `wall` is the wall clock at that time.
     pub fn new(spec: EngineSpec, ledger: Ledger, now: Duration, wall: Duration) -> Self {
@@ -353,6 +356,9 @@
         let what = job.what();
         if let Some(what) = what {
             let (engine, router) = (self.spec.name.clone(), job.router.clone());
+            let epoch = head.get(POLICY).and_then(|e| e.parse().ok());
+            let (by, on) = (router.clone(), slipreel_rulecheck::policy::On::Call);
+            self.note(now, Seen::Stamped { router: by, what, epoch, on });
             self.note(now, Seen::Arrived { engine, router, what, stage: job.stage() });
         }
         if self.work.falls(now, &self.spec, &job) && !self.fallen {
