--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -658,7 +658,11 @@
 
     fn pending(&self) -> Option<(String, Vec<String>)> {
         let told = self.holder.trial().cloned();
-        let book = self.book().and_then(|b| b.pending.as_ref()).map(|p| p.id.clone());
+        // A voter that has just started may lack what the others have decided since: its word counts when it has caught up.
+        let caught_up = self.voter.as_ref().is_some_and(|v| {
+            self.holder.leader().is_some() && self.holder.version() <= (v.terms.council, v.applied() as u64)
+        });
+        let book = self.book().filter(|_| caught_up).and_then(|b| b.pending.as_ref()).map(|p| p.id.clone());
         match (told, book) {
             (Some(told), _) => Some(told),
             (None, Some(id)) => Some((id, Vec::new())),
--- a/crates/accord/src/holder.rs
+++ b/crates/accord/src/holder.rs
@@ -119,6 +119,11 @@
         &self.voters
     }
 
+    /// The state that the leader told of last: the council and the entries in it.
+    pub fn version(&self) -> (u32, u64) {
+        self.version
+    }
+
     /// The change under way, and whom it waits for.
     pub fn trial(&self) -> Option<&(String, Vec<String>)> {
         self.trial.as_ref()
--- a/crates/ground/src/history.rs
+++ b/crates/ground/src/history.rs
@@ -77,6 +77,8 @@
     pub pending: Option<String>,
     /// Who votes, as it knows.
     pub voters: Vec<String>,
+    /// It says that it can't take the policy in force.
+    pub stuck: bool,
 }
 
 impl PolicySight {
@@ -90,10 +92,16 @@
             serving: value["serving"].as_bool()?,
             pending: value["pending"]["id"].as_str().map(str::to_owned),
             voters: voters.iter().filter_map(|v| v.as_str()).map(str::to_owned).collect(),
+            stuck: is_stuck(value["trouble"].as_array()?.iter().filter_map(|t| t.as_str())),
         })
     }
 }
 
+/// Whether one of a router's troubles is that it can't take the policy in force.
+pub(crate) fn is_stuck<'a>(mut troubles: impl Iterator<Item = &'a str>) -> bool {
+    troubles.any(|t| t.starts_with("can't take the policy in force"))
+}
+
 /// What `policy status ID --json` prints.
 pub(crate) fn said_of_json(text: &str) -> Option<Said> {
     let value: serde_json::Value = serde_json::from_str(text).ok()?;
--- a/crates/ground/src/memory.rs
+++ b/crates/ground/src/memory.rs
@@ -388,6 +388,7 @@
             serving: permit.holds(self.world.now()),
             pending: shown.pending.as_ref().map(|(id, _)| id.clone()),
             voters: shown.voters.clone(),
+            stuck: crate::history::is_stuck(shown.trouble.iter().map(String::as_str)),
         })
     }
 
--- a/crates/ground/src/policy.rs
+++ b/crates/ground/src/policy.rs
@@ -88,6 +88,8 @@
     for (r, sight) in &sights {
         match sight {
             None => outcome.wrong.push(format!("r{r} tells nothing of the policy at the end")),
+            // It was down while the others agreed on what it can't take: it says so and takes no requests.
+            Some(s) if s.stuck && !s.serving && script.poor == Some(*r) => {}
             Some(s) if !s.serving || s.epoch != outcome.epoch || s.pending.is_some() => {
                 outcome.wrong.push(format!(
                     "r{r} at the end: epoch {}, serving {}, pending {:?}: expected epoch {}, serving, nothing pending",
