--- a/crates/cli/src/member.rs
+++ b/crates/cli/src/member.rs
@@ -243,6 +243,8 @@
             Err(e) => return Some(Err(e.to_string())),
         };
         if shown.epoch == 0 {
+            // Nothing is in force here yet, perhaps as this file did not go with it: it is tried with what the file says now.
+            *policy.own.lock().unwrap_or_else(PoisonError::into_inner) = text;
             return None;
         }
         Some(match join(&text, &policy.file, &shown.text) {
--- a/crates/front/src/policy.rs
+++ b/crates/front/src/policy.rs
@@ -104,6 +104,33 @@
         self.calls.get(id).is_some_and(|call| call.generation != generation)
     }
 
+    /// What is published of the policy, in the Prometheus text format.
+    pub(crate) fn policy_metrics(&self) -> Option<String> {
+        let board = self.policy.as_ref()?;
+        let shown = board.shown();
+        let gauges = [
+            ("epoch", "The epoch by which requests are taken.", self.acts_by),
+            ("serving", "Whether requests are taken by it now.", u64::from(self.may_take())),
+            (
+                "pending",
+                "Whether a change is under way, as this router knows.",
+                u64::from(shown.pending.is_some()),
+            ),
+            ("votes", "Whether this router votes.", u64::from(shown.votes)),
+            ("trouble", "Troubles that `policy status` names.", shown.trouble.len() as u64),
+            (
+                "roles_frozen",
+                "Whether operators want no engine to change its role.",
+                u64::from(self.site.roles_frozen),
+            ),
+        ];
+        let line = |(name, help, value): &(&str, &str, u64)| {
+            let name = format!("slipreel_policy_{name}");
+            format!("# HELP {name} {help}\n# TYPE {name} gauge\n{name} {value}\n")
+        };
+        Some(gauges.iter().map(line).collect())
+    }
+
     // ---- Operators ------------------------------------------------------------------------------
 
     /// What operators ask of the policy.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -170,6 +170,7 @@
             ("GET", "/metrics") => {
                 let view = self.fleet.as_ref().map(|board| board.view().metrics());
                 let text = gauges::with(self.gauges.write(&self.stands()), view);
+                let text = gauges::with(text, self.policy_metrics());
                 self.answer(conn, 200, &[("content-type", gauges::MEDIA_TYPE)], text.as_bytes(), out);
             }
             (_, "/metrics") => {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -1,7 +1,7 @@
 //! A router: its module, and what the module has to be told and asked of. Decides nothing itself.
 
 use crate::engine::Try;
-use slipreel::{Action, Event, Router, TimerId};
+use slipreel::{Action, Event, Places, Router, Settings, TimerId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -40,6 +40,8 @@
 
 pub(crate) struct Host {
     pub(crate) router: Router,
+    /// The one before a change of settings: it ends the requests with numbers up to this one.
+    pub(crate) before: Option<(Router, u64)>,
     pub(crate) calls: BTreeMap<u64, Call>,
     /// Epochs of engines as of the last list, so that a new role comes with a new start.
     pub(crate) starts: BTreeMap<usize, (slipreel::Role, Option<Duration>)>,
@@ -53,29 +55,91 @@
     Release(u64),
     Refuse(u64, Option<Duration>),
     Fail(u64),
-    Timer(TimerId, Duration),
+    Timer(TimerId, Duration, bool),
     Probe(slipreel::EngineId),
 }
 
+impl Wish {
+    /// The request that it is about.
+    fn of(&self) -> Option<u64> {
+        match self {
+            Wish::Send(id, _) | Wish::Release(id) | Wish::Refuse(id, _) | Wish::Fail(id) => Some(*id),
+            Wish::Cancel(who) => Some(who.request),
+            Wish::Timer(..) | Wish::Probe(_) => None,
+        }
+    }
+}
+
 impl Host {
-    /// Tells the module; gives what it wishes, in order.
-    pub(crate) fn tell(&mut self, router: usize, now: Duration, event: Event) -> Vec<Wish> {
+    /// New settings, as a front takes them: with an heir, or with a router that has to learn anew.
+    pub(crate) fn change(
+        &mut self, now: Duration, settings: Settings, how: Change, last: u64, seed: u64,
+    ) -> Vec<Wish> {
+        let places = Places {
+            classes: (0..settings.classes.len()).map(Some).collect(),
+            tenants: (0..settings.tenants.len()).map(Some).collect(),
+        };
         let mut out = Vec::new();
-        self.router.handle(now, event, &mut out);
-        let wish = |action| {
-            Some(match action {
-                Action::Send { request, engine, .. } => Wish::Send(request.0, engine),
-                Action::Cancel { request, attempt } => {
-                    Wish::Cancel(Try { router, request: request.0, attempt })
-                }
-                Action::Release(request) => Wish::Release(request.0),
-                Action::Refuse { request, retry_after, .. } => Wish::Refuse(request.0, retry_after),
-                Action::Fail(request) => Wish::Fail(request.0),
-                Action::SetTimer { timer, after } => Wish::Timer(timer, after),
-                Action::Probe(engine) => Wish::Probe(engine),
-                _ => return None,
-            })
+        let next = match how {
+            Change::Heir => self.router.heir(now, settings, &places, seed, &mut out),
+            Change::Anew => Router::new(settings, seed),
         };
-        out.into_iter().filter_map(wish).collect()
+        self.before = Some((std::mem::replace(&mut self.router, next), last));
+        wishes(0, out, false)
     }
+
+    /// Tells the module; gives what it wishes, in order. `old`: a timer of the router before a change.
+    pub(crate) fn tell(&mut self, router: usize, now: Duration, event: Event, old: bool) -> Vec<Wish> {
+        let mut out = Vec::new();
+        let of = match &event {
+            Event::Request(r) => Some(r.id),
+            Event::FirstToken { request, .. } | Event::ClientGone(request) => Some(*request),
+            Event::Ended(ended) => Some(ended.request),
+            _ => None,
+        };
+        let Some((before, last)) = &mut self.before else {
+            self.router.handle(now, event, &mut out);
+            return wishes(router, out, false);
+        };
+        let its = of.is_some_and(|id| id.0 <= *last);
+        let timer = matches!(event, Event::Timer(_));
+        let mut told = Vec::new();
+        if its || timer && old || of.is_none() && !timer {
+            before.handle(now, event.clone(), &mut out);
+            told = wishes(router, std::mem::take(&mut out), true);
+        }
+        // The heir hears of the ends of what it has inherited, and asks for nothing on that account.
+        let inherits = matches!(event, Event::Ended(_) | Event::FirstToken { .. });
+        if !its && !(timer && old) || its && inherits {
+            self.router.handle(now, event, &mut out);
+            let last = *last;
+            told.extend(wishes(router, out, false).into_iter().filter(|w| w.of().is_none_or(|id| id > last)));
+        }
+        told
+    }
+}
+
+/// How routers take new settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// What was learnt stays.
+    Heir,
+    /// It is learnt anew: the baseline.
+    Anew,
+}
+
+fn wishes(router: usize, out: Vec<Action>, old: bool) -> Vec<Wish> {
+    let wish = |action| {
+        Some(match action {
+            Action::Send { request, engine, .. } => Wish::Send(request.0, engine),
+            Action::Cancel { request, attempt } => Wish::Cancel(Try { router, request: request.0, attempt }),
+            Action::Release(request) => Wish::Release(request.0),
+            Action::Refuse { request, retry_after, .. } => Wish::Refuse(request.0, retry_after),
+            Action::Fail(request) => Wish::Fail(request.0),
+            Action::SetTimer { timer, after } => Wish::Timer(timer, after, old),
+            Action::Probe(engine) => Wish::Probe(engine),
+            _ => return None,
+        })
+    };
+    out.into_iter().filter_map(wish).collect()
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,4 +17,5 @@
 mod play;
 mod roles;
 
-pub use play::{play, Figures, Served};
+pub use host::Change;
+pub use play::{play, play_change, Figures, Served};
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -1,7 +1,7 @@
 //! The events of a day in order: clients, routers and engines, each message a fixed time on its way.
 
 use crate::engine::{Ask, Engine, Say, Try};
-use crate::host::{Attempt, Call, Host, Wish};
+use crate::host::{Attempt, Call, Change, Host, Wish};
 use crate::roles::Roles;
 use slipreel::{
     CellId, ClassId, EngineId, EngineState, Event as Told, KindId, Listing, LoadReport, Outcome, RequestId,
@@ -59,6 +59,8 @@
     pub orders: Vec<(Duration, String)>,
     /// Engines that fell over, as they were sent too much while cold.
     pub fallen: usize,
+    /// Requests by the second in which they were first asked, and how many of these were served.
+    pub seconds: BTreeMap<u64, (usize, usize)>,
     /// Kinds of trouble in the day that are not played here.
     pub not_played: Vec<String>,
 }
@@ -72,7 +74,8 @@
 
 enum Event {
     Come { plan: usize, tries: u32 },
-    Timer { router: usize, timer: TimerId },
+    Timer { router: usize, timer: TimerId, old: bool },
+    Change(Change),
     Arrive { engine: usize, ask: Ask },
     Wake(usize),
     Said { who: Try, say: Say, report: LoadReport },
@@ -110,7 +113,15 @@
 
 /// Plays a day in the model. The same day gives the same figures.
 pub fn play(day: &Day) -> Figures {
+    play_change(day, None)
+}
+
+/// Plays a day in which all routers take new settings at one moment of it.
+pub fn play_change(day: &Day, change: Option<(Duration, Change)>) -> Figures {
     let mut world = World::new(day);
+    if let Some((at, how)) = change {
+        world.plan_at(START + at, Event::Change(how));
+    }
     world.run();
     let orders = world.roles.take().map_or_else(Vec::new, |r| r.orders);
     world.figures.orders = orders.into_iter().map(|(at, why)| (at - START, why)).collect();
@@ -149,6 +160,7 @@
             let seed = day.seed.wrapping_mul(0x9e37_79b9).wrapping_add(r as u64 + 1000);
             Host {
                 router: slipreel::Router::new(settings, seed),
+                before: None,
                 calls: BTreeMap::new(),
                 starts: BTreeMap::new(),
             }
@@ -214,7 +226,8 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Come { plan, tries } => self.come(plan, tries),
-            Event::Timer { router, timer } => self.tell(router, Told::Timer(timer)),
+            Event::Timer { router, timer, old } => self.tell_one(router, Told::Timer(timer), old),
+            Event::Change(how) => self.change(how),
             Event::Arrive { engine, ask } => self.arrive(engine, ask),
             // One that an earlier wake has overtaken says nothing: each would plan another.
             Event::Wake(engine) if self.engines[engine].planned == Some(self.now) => {
@@ -264,6 +277,9 @@
         let id = self.next;
         let served = self.figures.models.entry(p.model.clone()).or_default();
         served.asked += usize::from(tries == 1);
+        if tries == 1 {
+            self.figures.seconds.entry((self.now - START).as_secs()).or_default().0 += 1;
+        }
         if let Some(roles) = &mut self.roles {
             roles.counts.entry(self.day.site.classes[class].name.clone()).or_default().asked += 1;
         }
@@ -330,9 +346,39 @@
 
     // ---- Routers ------------------------------------------------------------------------------
 
+    /// All routers take new settings at one moment; the settings are the same, so that only what was learnt can differ.
+    fn change(&mut self, how: Change) {
+        for router in 0..self.hosts.len() {
+            let site = self.day.router_site(router, &[]);
+            let mut settings = site.settings;
+            settings.zone = self.zone_of(&site.zone);
+            let seed = self.day.seed.wrapping_mul(0x51ed_270b).wrapping_add(router as u64);
+            let (now, last) = (self.now, self.next);
+            for wish in self.hosts[router].change(now, settings, how, last, seed) {
+                self.grant(router, wish);
+            }
+        }
+        if how == Change::Anew {
+            self.list();
+        }
+    }
+
+    /// The number of a zone, as the engines' zones are numbered.
+    fn zone_of(&self, name: &str) -> ZoneId {
+        let mut zones = Vec::new();
+        self.day.engines.iter().for_each(|p| {
+            number(&mut zones, &p.zone);
+        });
+        ZoneId(zones.iter().position(|z| z == name).unwrap_or(0) as u32)
+    }
+
     fn tell(&mut self, router: usize, event: Told) {
+        self.tell_one(router, event, false);
+    }
+
+    fn tell_one(&mut self, router: usize, event: Told, old: bool) {
         self.depth += 1;
-        for wish in self.hosts[router].tell(router, self.now, event) {
+        for wish in self.hosts[router].tell(router, self.now, event, old) {
             self.grant(router, wish);
         }
         self.depth -= 1;
@@ -348,8 +394,8 @@
 
     fn grant(&mut self, router: usize, wish: Wish) {
         match wish {
-            Wish::Timer(timer, after) => {
-                self.plan_at(self.now.saturating_add(after), Event::Timer { router, timer });
+            Wish::Timer(timer, after, old) => {
+                self.plan_at(self.now.saturating_add(after), Event::Timer { router, timer, old });
             }
             Wish::Send(request, engine) => self.send(router, request, engine),
             Wish::Cancel(who) => {
@@ -446,6 +492,15 @@
                     let c = roles.counts.entry(name).or_default();
                     (c.answers, c.answer_tokens) = (c.answers + 1, c.answer_tokens + tokens);
                 }
+                let due = self.hosts[router]
+                    .calls
+                    .get(&request)
+                    .filter(|c| !c.over)
+                    .map(|c| self.day.plans[c.plan].at);
+                if let Some(due) = due {
+                    let second = (Duration::from_millis(500) + due).as_secs();
+                    self.figures.seconds.entry(second).or_default().1 += 1;
+                }
                 self.over(router, request, |s| &mut s.served, None);
                 self.ended(who, Outcome::Ok, 0.0, report);
             }
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -97,6 +97,9 @@
     costs: Costs,
     /// Plans are logged and nothing is ordered.
     dry: bool,
+    /// An operator has frozen changes here; routers whose policy says so, too.
+    frozen: bool,
+    frozen_at: BTreeMap<usize, bool>,
     known: Vec<Known>,
     talks: BTreeMap<ConnId, Talk>,
     next_conn: u64,
@@ -125,6 +128,8 @@
             demand: Demand::default(),
             costs,
             dry,
+            frozen: false,
+            frozen_at: BTreeMap::new(),
             known,
             talks: BTreeMap::new(),
             next_conn: 0,
@@ -212,7 +217,13 @@
                         continue;
                     };
                     match talk.asked.remove(0) {
-                        Asked::Router(n) => self.demand.hear(n, &String::from_utf8_lossy(&body)),
+                        Asked::Router(n) => {
+                            let text = String::from_utf8_lossy(&body);
+                            self.demand.hear(n, &text);
+                            if let Some(frozen) = frozen_by_policy(&text) {
+                                self.frozen_at.insert(n, frozen);
+                            }
+                        }
                         Asked::Load => known.load = Some(engine::metrics(&String::from_utf8_lossy(&body))),
                         Asked::Role => known.told = told(&body),
                         Asked::Order if talk.status == 202 => self.orders += 1,
@@ -279,6 +290,8 @@
             None if !self.routers.is_empty() => return,
             None => {}
         }
+        // One router that acts by a policy with frozen roles is enough: a change can't be taken back.
+        self.planner.freeze(self.frozen || self.frozen_at.values().any(|frozen| *frozen));
         let plan = self.planner.plan(&view);
         for change in &plan.changes {
             out.push(Output::Log(format!("{}{change}", if self.dry { "would order " } else { "orders " })));
@@ -310,6 +323,12 @@
     Some(Told { role, epoch, serving })
 }
 
+/// Whether a router publishes that its policy freezes the roles; `None`: it says nothing of that.
+fn frozen_by_policy(metrics: &str) -> Option<bool> {
+    let line = metrics.lines().find_map(|l| l.strip_prefix("slipreel_policy_roles_frozen "))?;
+    Some(line.trim() != "0")
+}
+
 impl Machine for Conductor {
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
@@ -328,6 +347,7 @@
             }
             Input::News(news) => {
                 if let Some(Freeze(frozen)) = news.downcast_ref() {
+                    self.frozen = *frozen;
                     self.planner.freeze(*frozen);
                 } else if let Some(engines) = news.downcast_ref::<Vec<Watched>>() {
                     self.engines.clone_from(engines);
