--- a/crates/accord/benches/policy.rs
+++ b/crates/accord/benches/policy.rs
@@ -34,7 +34,7 @@
     loop {
         routers.run(ms(1));
         let epochs = routers.epochs();
-        if epochs.iter().any(|e| *e == 0) {
+        if epochs.contains(&0) {
             without += ms(1);
         }
         if epochs.iter().all(|e| *e == epoch) || routers.world.now() > begin + ms(60_000) {
