--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -110,7 +110,8 @@
         }
         // The heir hears of the ends of what it has inherited, and asks for nothing on that account.
         let inherits = matches!(event, Event::Ended(_) | Event::FirstToken { .. });
-        if !its && !(timer && old) || its && inherits {
+        let for_the_first = its || timer && old;
+        if !for_the_first || its && inherits {
             self.router.handle(now, event, &mut out);
             let last = *last;
             told.extend(wishes(router, out, false).into_iter().filter(|w| w.of().is_none_or(|id| id > last)));
