Policy: one process a folder; one that can't be read silences the vote, not the router

Need: a second process on one folder would vote with the first one's promises, and a router whose folder could not be read did not start.

The change: a lock on the folder; what can't be read counts as a log that is refused.

--- a/crates/cli/src/disk.rs
+++ b/crates/cli/src/disk.rs
@@ -1,12 +1,15 @@
 //! The file in which a voter keeps what it must not forget: appended and synced, or put in place whole.
 
+use rustix::fs::FlockOperation;
 use slipreel_accord::Disk;
 use std::fs::File;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
 /// The file's name in the folder of `[fleet]`.
 const NAME: &str = "accord";
+/// A log is never that long; what is, is something else.
+const LONGEST: u64 = 1 << 30;
 
 /// A voter's file.
 pub(crate) struct Folder {
@@ -19,12 +22,29 @@
         Folder { folder: folder.to_owned(), file: None }
     }
 
+    /// Takes the folder for this process as long as it runs. A second process on one folder would vote with the first one's promises.
+    ///
+    /// # Errors
+    /// Another process has it, or it can't be made.
+    pub(crate) fn take(folder: &Path) -> std::io::Result<File> {
+        std::fs::create_dir_all(folder)?;
+        let lock = File::options().create(true).truncate(false).write(true).open(folder.join("lock"))?;
+        rustix::fs::flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
+        Ok(lock)
+    }
+
     /// What stands there; nothing if there is none.
     pub(crate) fn read(folder: &Path) -> std::io::Result<Vec<u8>> {
-        match std::fs::read(folder.join(NAME)) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Vec::new()),
-            other => other,
+        let file = match File::open(folder.join(NAME)) {
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(Vec::new()),
+            other => other?,
+        };
+        let mut bytes = Vec::new();
+        file.take(LONGEST).read_to_end(&mut bytes)?;
+        if bytes.len() as u64 == LONGEST {
+            return Err(std::io::Error::other(format!("{NAME}: expected fewer than {LONGEST} bytes")));
         }
+        Ok(bytes)
     }
 
     fn try_append(&mut self, bytes: &[u8], sync: bool) -> std::io::Result<()> {
--- a/crates/cli/src/member.rs
+++ b/crates/cli/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::disk::Folder;
 use crate::{lines, Failure};
+use slipreel_accord::log::Damage;
 use slipreel_accord::{Accord, Board as PolicyBoard, ByView, Disk, Made, Member as Machine, Start, Try};
 use slipreel_fleet::{Board, Fleet, Kept, Peers, Settings};
 use slipreel_front::{Front, Sharing};
@@ -24,6 +25,8 @@
     file: String,
     /// The epoch that was last told of.
     told: u64,
+    /// Held for as long as the process runs.
+    _lock: Option<std::fs::File>,
 }
 
 impl Policy {
@@ -63,6 +66,18 @@
     }
 }
 
+/// Takes the folder. One that can't be written is no reason not to serve: the router does not vote, and says so.
+fn lock(folder: &Path) -> Result<Option<std::fs::File>, Failure> {
+    match Folder::take(folder) {
+        Ok(lock) => Ok(Some(lock)),
+        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => Err(Failure::Run(format!(
+            "[fleet] folder: {}: another process uses it: expected a folder of this router's own",
+            folder.display()
+        ))),
+        Err(_) => Ok(None),
+    }
+}
+
 /// What a router needs to take part in the policy, where its settings want that.
 fn accord(
     site: &FleetSite, name: &str, config: &Path, clock: Clock, view: &Arc<Board>,
@@ -91,12 +106,16 @@
             Err(faults) => Err(lines(&faults)),
         }
     });
-    let (found, disk): (_, Box<dyn Disk>) = match &site.folder {
-        None => (None, Box::new(NoDisk)),
+    let (found, disk, lock): (_, Box<dyn Disk>, _) = match &site.folder {
+        None => (None, Box::new(NoDisk), None),
         Some(folder) => {
-            let stands =
-                Folder::read(folder).map_err(|e| Failure::Run(format!("{}: {e}", folder.display())))?;
-            (Some(slipreel_accord::shelf::read(&stands)), Box::new(Folder::new(folder)))
+            let lock = lock(folder)?;
+            // What can't be read may hold promises: the router serves by what the others agree on, and does not vote.
+            let found = match Folder::read(folder) {
+                Ok(stands) => slipreel_accord::shelf::read(&stands),
+                Err(why) => Err(Damage::Record(0, why.to_string())),
+            };
+            (Some(found), Box::new(Folder::new(folder)), lock)
         }
     };
     let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
@@ -110,7 +129,7 @@
         board: board.clone(),
     };
     let accord = Accord::new(settings, start, clock.now());
-    Ok(Some((accord, Policy { board, own, file, told: 0 })))
+    Ok(Some((accord, Policy { board, own, file, told: 0, _lock: lock })))
 }
 
 /// The member of this process.
--- a/crates/cli/tests/policy.rs
+++ b/crates/cli/tests/policy.rs
@@ -149,6 +149,15 @@
         "sent twice it is one"
     );
 
+    // A second process on a folder would vote with the first one's promises.
+    let second = Command::new(PROGRAM).args(["serve", "--config"]).arg(routers.1.join("r0.ini")).output();
+    let second = second.expect("it runs");
+    assert!(
+        !second.status.success() && text(&second).contains("another process uses it"),
+        "{}",
+        text(&second)
+    );
+
     // One engine is all there is: a policy without it is no policy for any of them.
     std::fs::write(&file, format!("{POLICY}[operations]\ntaken_out = a\n")).expect("a file");
     let dropped = policy(&["propose", name, "--id", "two", "--json", "--at", &ports[0]]);
