Policy: a council ends by an ordinary entry, as the library's sign for it miscounts

Looked at: elections (well), lanes (well), what each voter says that it holds: 12, 7 and 6 entries where five were written, one more at each exchange of logs. To blame: the library adds its stop sign to the count at each sync_log, from a prefix that has it already.

The change: Entry::Seats ends a council; what stands behind it counts for nobody. A leader grants nothing while its log holds one, as the next council's majorities may share no voter.

--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -573,7 +573,7 @@
         }
         let news = self.steward.news(now, voter);
         let step = self.steward.step(now, voter);
-        let begins = step.is_none() && self.steward.begins_round();
+        let begins = step.is_none() && self.steward.begins_round(voter);
         let question = if begins { voter.ask_to_confirm(now) } else { voter.ask_again(now) };
         let asked = step.is_some();
         match step {
--- a/crates/accord/src/book.rs
+++ b/crates/accord/src/book.rs
@@ -3,6 +3,7 @@
 //! Every voter applies the same entries in the same order and comes to the same book. Nothing here knows of voters, leases or time.
 
 use crate::pace;
+use crate::shelf::Seat;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64;
@@ -49,6 +50,8 @@
     Propose(Proposal),
     /// The change of this id is over.
     Settle(String, Verdict),
+    /// The council ends here, in favour of one of these; what stands behind it counts for nobody.
+    Seats(Vec<Seat>),
 }
 
 /// How a change ended, or that it has not.
@@ -157,6 +160,7 @@
                     None => self.pending = Some(proposal.clone()),
                 }
             }
+            Entry::Seats(_) => {}
             Entry::Settle(id, verdict) => {
                 if self.pending.as_ref().is_none_or(|p| p.id != *id) {
                     return;
--- a/crates/accord/src/shelf.rs
+++ b/crates/accord/src/shelf.rs
@@ -45,8 +45,6 @@
     Decided(usize),
     /// From this place on its log holds these.
     Entries(usize, Vec<Entry>),
-    /// The council ends with the next one, or not yet after all.
-    Stop(Option<StopSign>),
 }
 
 /// A frame of the file.
@@ -67,7 +65,6 @@
     accepted: Option<Ballot>,
     decided: usize,
     entries: Vec<Entry>,
-    stop: Option<StopSign>,
     /// What is not on the disk yet.
     ops: Vec<Op>,
 }
@@ -82,7 +79,6 @@
                 self.entries.truncate(*at);
                 self.entries.extend(entries.iter().cloned());
             }
-            Op::Stop(stop) => self.stop.clone_from(stop),
         }
     }
 
@@ -97,7 +93,6 @@
         ops.extend(self.accepted.map(Op::Accepted));
         ops.push(Op::Entries(0, self.entries.clone()));
         ops.push(Op::Decided(self.decided));
-        ops.push(Op::Stop(self.stop.clone()));
         ops
     }
 }
@@ -135,24 +130,22 @@
         file
     }
 
-    /// Entries that are decided from a place on, and the sign that ends the council if that is decided too.
-    pub(crate) fn decided_from(&self, at: usize) -> (Vec<Entry>, Option<StopSign>) {
+    /// Entries that are decided from a place on.
+    pub(crate) fn decided_from(&self, at: usize) -> Vec<Entry> {
         let noted = self.noted();
         let upto = noted.decided.min(noted.entries.len());
-        let entries = noted.entries.get(at..upto).unwrap_or_default().to_vec();
-        let stop = noted.stop.clone().filter(|_| noted.decided > noted.entries.len());
-        (entries, stop)
+        noted.entries.get(at..upto).unwrap_or_default().to_vec()
     }
 
-    /// Whether it holds entries, or a sign that ends the council, that are not decided.
+    /// Whether it holds entries that are not decided.
     pub(crate) fn has_open(&self) -> bool {
         let noted = self.noted();
-        noted.entries.len() + usize::from(noted.stop.is_some()) > noted.decided
+        noted.entries.len() > noted.decided
     }
 
     /// Whether the council is to end, decided or not.
     pub(crate) fn stops(&self) -> bool {
-        self.noted().stop.is_some()
+        self.noted().entries.iter().any(|e| matches!(e, Entry::Seats(_)))
     }
 }
 
@@ -211,9 +204,12 @@
                 StorageOp::SetPromise(b) => self.set_promise(b)?,
                 StorageOp::SetDecidedIndex(n) => self.set_decided_idx(n)?,
                 StorageOp::SetAcceptedRound(b) => self.set_accepted_round(b)?,
-                StorageOp::SetStopsign(stop) => self.set_stopsign(stop)?,
-                // A council's log is short and ends with the council: it is never trimmed.
-                StorageOp::SetCompactedIdx(_) | StorageOp::Trim(_) | StorageOp::SetSnapshot(_) => {}
+                // A council's log is short and ends with the council: it is never trimmed. It ends by an entry of its own: the library's
+                // sign counts once more at each new exchange of logs, and voters then disagree for ever on how far they are.
+                StorageOp::SetStopsign(_)
+                | StorageOp::SetCompactedIdx(_)
+                | StorageOp::Trim(_)
+                | StorageOp::SetSnapshot(_) => {}
             }
         }
         Ok(())
@@ -274,13 +270,12 @@
         Ok(self.noted().promise)
     }
 
-    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
-        self.noted().note(Op::Stop(stop));
+    fn set_stopsign(&mut self, _: Option<StopSign>) -> StorageResult<()> {
         Ok(())
     }
 
     fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
-        Ok(self.noted().stop.clone())
+        Ok(None)
     }
 
     fn trim(&mut self, _: usize) -> StorageResult<()> {
@@ -337,7 +332,7 @@
         let (read_terms, noted) = pieces.council.expect("a council");
         assert_eq!((read_terms, noted.entries.len(), noted.decided), (terms, 2, 1));
         assert_eq!(noted.entries[1], settle("z"));
-        assert_eq!(shelf.decided_from(0).0, [settle("x")]);
+        assert_eq!(shelf.decided_from(0), [settle("x")]);
         assert!(shelf.has_open());
     }
 }
--- a/crates/accord/src/steward.rs
+++ b/crates/accord/src/steward.rs
@@ -121,8 +121,9 @@
     }
 
     /// Whether a round is wanted; the questions that wait are then those that it answers.
-    pub fn begins_round(&mut self) -> bool {
-        if self.settling.is_some() || !self.confirming.is_empty() || self.waiting.is_empty() {
+    pub fn begins_round(&mut self, voter: &Voter) -> bool {
+        if self.settling.is_some() || voter.stops() || !self.confirming.is_empty() || self.waiting.is_empty()
+        {
             return false;
         }
         self.confirming = std::mem::take(&mut self.waiting);
@@ -131,8 +132,9 @@
 
     /// The round is over: the answers.
     pub fn confirmed(&mut self, now: Duration, voter: &Voter) -> Vec<Answer> {
-        if self.settling.is_some() {
-            // What is being settled may end the epoch at any moment: they are answered after it.
+        if self.settling.is_some() || voter.stops() {
+            // What is being settled may end the epoch at any moment: they are answered after it. And where the council ends, the next one's
+            // leader may count on it that nothing is granted here any more: their majorities need not share a voter.
             let confirming = std::mem::take(&mut self.confirming);
             self.waiting.extend(confirming);
             return Vec::new();
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -9,7 +9,6 @@
 use crate::pace;
 use crate::shelf::{Noted, Seat, Shelf, Terms};
 use omnipaxos::messages::Message;
-use omnipaxos::storage::StopSign;
 use omnipaxos::util::NodeId;
 use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
 use std::collections::BTreeSet;
@@ -170,7 +169,7 @@
                 let _ = self.shelf.set_decided_idx(n);
             }
             Way::Together(p) => {
-                // Refused only while the council ends; who wants it asks again then.
+                // Never refused: the library's own sign for an end is not used.
                 let _ = p.append(entry);
             }
         }
@@ -178,22 +177,7 @@
 
     /// Ends the council in favour of one with these seats.
     pub(crate) fn hand_over(&mut self, seats: &[Seat]) {
-        let council = self.terms.council + 1;
-        // The library wants two voters or more and their numbers; which seats they are goes beside it.
-        let nodes = (1..=seats.len().max(2) as NodeId).collect();
-        let next = ClusterConfig { configuration_id: council, nodes, flexible_quorum: None };
-        let metadata = postcard::to_stdvec(seats).ok();
-        match &mut self.way {
-            Way::Alone => {
-                use omnipaxos::storage::Storage;
-                let n = self.shelf.get_log_len().unwrap_or_default() + 1;
-                let _ = self.shelf.set_stopsign(Some(StopSign::with(next, metadata)));
-                let _ = self.shelf.set_decided_idx(n);
-            }
-            Way::Together(p) => {
-                let _ = p.reconfigure(next, metadata);
-            }
-        }
+        self.append(Entry::Seats(seats.to_vec()));
     }
 
     pub(crate) fn tick(&mut self) {
@@ -230,14 +214,20 @@
 
     /// Applies what is decided. The entries that are new, and the terms of the next council if this one has ended.
     pub(crate) fn apply(&mut self) -> (Vec<Entry>, Option<Terms>) {
-        let (entries, stop) = self.shelf.decided_from(self.applied);
+        let mut entries = self.shelf.decided_from(self.applied);
+        let end = entries.iter().position(|e| matches!(e, Entry::Seats(_)));
+        entries.truncate(end.map_or(entries.len(), |at| at + 1));
         for entry in &entries {
             self.book.apply(entry);
         }
         self.applied += entries.len();
-        let seats = stop.and_then(|s| postcard::from_bytes::<Vec<Seat>>(&s.metadata?).ok());
         let council = self.terms.council + 1;
-        let next = seats.map(|seats| Terms { council, seats, base: self.book.clone() });
+        let next = match entries.last() {
+            Some(Entry::Seats(seats)) => {
+                Some(Terms { council, seats: seats.clone(), base: self.book.clone() })
+            }
+            _ => None,
+        };
         (entries, next)
     }
 
