--- a/crates/ground/src/run.rs
+++ b/crates/ground/src/run.rs
@@ -238,6 +238,10 @@
             return;
         }
         if self.tracks[n].taken.is_none() {
+            // What nobody has taken by the end of the script is not said any more: a change takes up to some seconds.
+            if now > self.script.length.max(propose.at + LOOK * 4) {
+                return;
+            }
             let taken = stage.propose(&propose);
             self.note(stage, Event::Said(propose.id.clone(), propose.to, taken));
             if taken {
