Policy: connections of peers that were cut off no longer keep the others out

To blame: Accord::handle, Input::Accepted. The change: a new connection takes the place of the one that was silent longest. Result: the new test fails without it; the tests of accord pass.

--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -94,7 +94,8 @@
     holder: Holder,
     founding: Option<Founding>,
     lanes: Lanes,
-    inbound: BTreeMap<ConnId, Vec<u8>>,
+    /// Connections of others: what has come of a frame, and when they were last heard.
+    inbound: BTreeMap<ConnId, (Vec<u8>, Duration)>,
     disk: Box<dyn Disk>,
     /// Since when the disk can't be written, and why: nothing is said as a voter until all of it stands there.
     failing: Option<(Duration, String)>,
@@ -674,10 +675,11 @@
     }
 
     fn inbound(&mut self, now: Duration, conn: ConnId, bytes: &[u8], out: &mut Vec<Output>) {
-        let Some(got) = self.inbound.get_mut(&conn) else { return };
+        let Some((got, heard)) = self.inbound.get_mut(&conn) else { return };
+        *heard = now;
         got.extend(bytes);
         loop {
-            let Some(got) = self.inbound.get_mut(&conn) else { return };
+            let Some((got, _)) = self.inbound.get_mut(&conn) else { return };
             match Frame::decode(got) {
                 Ok(None) if got.len() <= LONGEST + 64 => return,
                 Ok(None) => return self.refuse(now, conn, &Bad::Long(bytes.len()), out),
@@ -713,10 +715,17 @@
                 Ok(None) => self.bad(now, &Bad::Checksum, out),
                 Err(bad) => self.bad(now, &bad, out),
             },
-            Input::Accepted(conn, _) if self.inbound.len() < INBOUND => {
-                self.inbound.insert(conn, Vec::new());
+            Input::Accepted(conn, _) => {
+                // Its place is that of the one which has been silent longest: a peer that was cut off leaves connections that never end.
+                if self.inbound.len() >= INBOUND {
+                    let oldest = self.inbound.iter().min_by_key(|(_, (_, heard))| *heard).map(|(c, _)| *c);
+                    if let Some(oldest) = oldest {
+                        self.inbound.remove(&oldest);
+                        out.push(Output::Abort(oldest));
+                    }
+                }
+                self.inbound.insert(conn, (Vec::new(), now));
             }
-            Input::Accepted(conn, _) => out.push(Output::Abort(conn)),
             Input::Connected(conn) => self.lanes.connected(conn, out),
             Input::Data(conn, bytes) if conn.is_opened() => self.lanes.acked(conn, bytes.len()),
             Input::Data(conn, bytes) => self.inbound(now, conn, bytes, out),
--- a/crates/accord/tests/common/mod.rs
+++ b/crates/accord/tests/common/mod.rs
@@ -207,6 +207,13 @@
     }
 
     pub fn start(&mut self, r: usize, policy: &str) {
+        let accord = self.build(r, policy);
+        self.world.kill(r);
+        self.world.revive(r, Node::Up(Box::new(accord), self.disks[r].1.clone()));
+    }
+
+    /// A router at its start, from what stands on its disk.
+    pub fn build(&mut self, r: usize, policy: &str) -> Accord {
         self.lives += 1;
         let board = Arc::new(Board::default());
         let settings = Settings {
@@ -237,8 +244,7 @@
         *self.disks[r].1.lock().expect("no panic under it") = Counts::default();
         let accord = Accord::new(settings, start, self.world.now());
         self.boards[r] = board;
-        self.world.kill(r);
-        self.world.revive(r, Node::Up(Box::new(accord), self.disks[r].1.clone()));
+        accord
     }
 
     /// From now on its steps count, and it dies at this one.
--- a/crates/accord/tests/thin.rs
+++ b/crates/accord/tests/thin.rs
@@ -117,3 +117,17 @@
     routers.run(ms(200));
     assert_eq!(routers.boards[leader].shown().stands("x"), Stands::InForce(2));
 }
+
+#[test]
+fn connections_that_never_end_keep_nobody_out() {
+    use slipreel_machine::{ConnId, Door, Input, Machine, Output};
+    let mut routers = Routers::new(1, 1, 7);
+    let (now, mut out) = (routers.world.now(), Vec::new());
+    let mut accord = routers.build(0, "one");
+    for n in 0..200 {
+        accord.handle(now + ms(n), Input::Accepted(ConnId(1_000 + n), Door(0)), &mut out);
+    }
+    let dropped = out.iter().filter(|o| matches!(o, Output::Abort(_))).count();
+    assert_eq!(dropped, 136, "64 are kept");
+    assert!(!out.contains(&Output::Abort(ConnId(1_199))), "the new one is taken");
+}
