Module: engines to spill to are asked only where the preferred ones bear more than the prompt

To blame: ask() asked all four candidates of both stages, whatever the first two bore. Change: the near ones are asked first; the far ones only where the rule could fall on them, once.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -331,6 +331,16 @@
     (both, other)
 }
 
+/// Two numbers below `n` at random: as if the last took the place of the first drawn.
+pub(crate) fn two_of(n: usize, mut chance: impl FnMut() -> f64) -> Vec<usize> {
+    let mut pair = Vec::new();
+    for left in [n, n.saturating_sub(1)].into_iter().filter(|&left| left > 0) {
+        let at = (chance() * left as f64) as usize;
+        pair.push(if pair.first() == Some(&at) { n - 1 } else { at });
+    }
+    pair
+}
+
 /// Marks on positions, counted and numbered in logarithmic time: a binary indexed tree.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Marks {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
 //! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
 
-use crate::fleet::{shared, Counted, Fleet, Placed, Rest, Shelf, Standing};
+use crate::fleet::{shared, two_of, Counted, Fleet, Placed, Rest, Shelf, Standing};
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -16,10 +16,8 @@
 
 pub(crate) mod gauge;
 
-/// Factor of the refusal curve; no unit. From the llm-d post.
-const CURVE_FACTOR: f64 = 300.0;
-/// Power of the refusal curve; no unit. From the llm-d post.
-const CURVE_POWER: i32 = 5;
+const CURVE_FACTOR: f64 = 300.0; // Factor of the refusal curve; no unit. From the llm-d post.
+const CURVE_POWER: i32 = 5; // Power of the refusal curve; no unit. From the llm-d post.
 /// Prompt tokens waiting at one engine that count as saturation 1. Starting value of the design.
 const WAITING_THRESHOLD: f64 = 60_000.0;
 /// Share of memory that counts as saturation 1. From the design: full memory alone refuses one in six.
@@ -48,8 +46,7 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(900);
 /// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
-/// Pace before any was seen, seconds a token. A slow reader's.
-const FIRST_PACE: f64 = 0.000_3;
+const FIRST_PACE: f64 = 0.000_3; // Pace before any was seen, seconds a token. A slow reader's.
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
@@ -164,6 +161,8 @@
 struct Choice {
     step: usize,
     asked: Duration,
+    /// Those far are asked, too.
+    wide: bool,
     near: Vec<EngineId>,
     far: Vec<EngineId>,
 }
@@ -373,11 +372,20 @@
         }
         let (held, again) = (job.held.is_some(), !job.attempts.is_empty());
         if job.choice.as_ref().is_none_or(|c| c.step != job.attempts.len()) {
-            let choice = if held { self.writers(now, id) } else { self.readers(now, id, left) };
-            if self.ask(now, id, choice, out) {
+            let (step, asked, wide) = (job.attempts.len(), now, false);
+            let (near, far) = if held { self.writers(now, id) } else { self.readers(now, id, left) };
+            let Some(job) = self.jobs.get_mut(&id) else { return };
+            job.choice = Some(Choice { step, asked, wide, near, far });
+            if self.ask(now, id, false, out) {
                 return;
             }
         }
+        // Those far can matter only where the near ones bear more than the request itself.
+        let Some(job) = self.jobs.get(&id) else { return };
+        let near = job.choice.as_ref().and_then(|c| self.least(now, job, &c.near));
+        if near.is_none_or(|(_, bears)| bears > job.request.prompt_tokens) && self.ask(now, id, true, out) {
+            return;
+        }
         let target = self.choose(now, id);
         // State that could not be fetched may still wait where the writer could not reach it.
         if !held && again {
@@ -490,42 +498,32 @@
             }
             let (pair, other) =
                 (Rest::new(near.len(), [&missing, &[]]), Rest::new(shelf.len(), [near, &beyond]));
-            let pair =
-                self.two_of(pair.len()).into_iter().map(|k| shelf.id(near[pair.nth(k)] as usize)).collect();
-            let other = self.two_of(other.len()).into_iter().map(|k| shelf.id(other.nth(k))).collect();
-            return (pair, other);
+            let two = two_of(pair.len(), || self.chance()).into_iter();
+            let pair = two.map(|k| shelf.id(near[pair.nth(k)] as usize)).collect();
+            let two = two_of(other.len(), || self.chance()).into_iter();
+            return (pair, two.map(|k| shelf.id(other.nth(k))).collect());
         }
         let all = Rest::new(shelf.len(), [&gone, &[]]);
-        (self.two_of(all.len()).into_iter().map(|k| shelf.id(all.nth(k))).collect(), Vec::new())
-    }
-
-    /// Two numbers below `n` at random: as if the last took the place of the first drawn.
-    fn two_of(&mut self, n: usize) -> Vec<usize> {
-        let mut pair = Vec::new();
-        for left in [n, n.saturating_sub(1)].into_iter().filter(|&left| left > 0) {
-            let at = (self.chance() * left as f64) as usize;
-            pair.push(if pair.first() == Some(&at) { n - 1 } else { at });
-        }
-        pair
+        let two = two_of(all.len(), || self.chance()).into_iter();
+        (two.map(|k| shelf.id(all.nth(k))).collect(), Vec::new())
     }
 
-    /// Keeps what the request chooses from and asks those whose reports are old, so that the choice
-    /// goes by fresh load though this router rarely meets an engine. Whether there is one to wait for.
-    fn ask(
-        &mut self, now: Duration, id: RequestId, (near, far): (Vec<EngineId>, Vec<EngineId>), out: Out,
-    ) -> bool {
+    /// Asks those near or far of its choice whose reports are old, so that it goes by fresh load though this
+    /// router rarely meets an engine; the far ones once. Whether there is one to wait for.
+    fn ask(&mut self, now: Duration, id: RequestId, far: bool, out: Out) -> bool {
+        let choice = self.jobs.get_mut(&id).filter(|_| self.settings.limits.probes);
+        let choice = choice.and_then(|j| j.choice.as_mut());
+        let Some(choice) = choice.filter(|c| !c.wide && c.near.len() + c.far.len() > 1) else { return false };
+        choice.wide = far;
+        let pool = if far { choice.far.clone() } else { choice.near.clone() };
         let mut waits = false;
-        if near.len() + far.len() > 1 && self.settings.limits.probes {
-            for engine in near.iter().chain(&far) {
-                let Some(server) = self.servers.get_mut(engine).filter(|s| !s.fresh(now)) else { continue };
-                server.askers.push(id);
-                self.probe(*engine, out);
-                waits = true;
-            }
+        for engine in pool {
+            let Some(server) = self.servers.get_mut(&engine).filter(|s| !s.fresh(now)) else { continue };
+            server.askers.push(id);
+            self.probe(engine, out);
+            waits = true;
         }
-        let Some(job) = self.jobs.get_mut(&id) else { return false };
-        job.choice = Some(Choice { step: job.attempts.len(), asked: now, near, far });
-        if waits {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| waits) {
             job.parked = Some(now + ASK_WAIT);
             self.alarm(Alarm::Parked(id), ASK_WAIT, out);
         }
@@ -535,9 +533,9 @@
     /// A refused request asks too, as a router that refuses all would hear nothing any more.
     fn ask_anyone(&mut self, now: Duration, out: Out) {
         self.settle(now);
-        let pair = self.two_of(self.fleet.old());
-        let pair: Vec<EngineId> = pair.into_iter().map(|k| self.fleet.nth_old(k)).collect();
-        pair.into_iter().for_each(|engine| self.probe(engine, out));
+        for k in two_of(self.fleet.old(), || self.chance()) {
+            self.probe(self.fleet.nth_old(k), out);
+        }
     }
 
     /// The preferred engine that bears least by its report (else its stage's mean) and our own tokens, unless
@@ -546,18 +544,22 @@
     fn choose(&self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
         let choice = job.choice.as_ref()?;
-        let own = job.request.prompt_tokens;
+        let (near, far) = (self.least(now, job, &choice.near), self.least(now, job, &choice.far));
+        let spills = |far| near.is_none_or(|(_, near)| near > FAR_FACTOR * far + job.request.prompt_tokens);
+        far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
+    }
+
+    /// Which engine bears least, and how many tokens.
+    fn least(&self, now: Duration, job: &Job, pool: &[EngineId]) -> Option<(EngineId, f64)> {
+        let asked = job.choice.as_ref()?.asked;
         let bears = |id: &EngineId| {
             let server = self.servers.get(id).filter(|s| s.ready())?;
             let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
-            let load = load.unwrap_or_else(|| self.stage(now, server.role));
-            let silent = if server.heard + FRESH < choice.asked { SILENT_TOKENS } else { 0.0 };
-            Some((*id, load * WAITING_THRESHOLD + server.tokens + silent))
+            let load = load.unwrap_or_else(|| self.stage(now, server.role)) * WAITING_THRESHOLD;
+            let silent = if server.heard + FRESH < asked { SILENT_TOKENS } else { 0.0 };
+            Some((*id, load + server.tokens + silent))
         };
-        let least = |pool: &[EngineId]| pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1));
-        let (near, far) = (least(&choice.near), least(&choice.far));
-        let spills = |far: f64| near.is_none_or(|(_, near)| near > FAR_FACTOR * far + own);
-        far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
+        pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     /// The usable engines for this request's next attempt. Those it has tried, and those that just
@@ -986,10 +988,11 @@
         }
         for id in askers {
             let servers = &self.servers;
-            let open = |id: &EngineId| servers.get(id).is_some_and(|s| s.probing);
+            let probing = |id: &EngineId| servers.get(id).is_some_and(|s| s.probing);
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let Some(choice) = job.choice.as_ref().filter(|c| c.step == job.attempts.len()) else { continue };
-            if job.parked.is_some() && !choice.near.iter().chain(&choice.far).any(open) {
+            let far = choice.far.iter().filter(|_| choice.wide);
+            if job.parked.is_some() && !choice.near.iter().chain(far).any(probing) {
                 job.parked = None;
                 self.advance(now, id, out);
             }
