Module: means learn from a few samples, as one of 300 routers sees ten requests a minute

Looked at: reports and admissions logged: prompts of 7,500 tokens taken for 3,000, as each router had seen some ten; the means start from constants and take 6% of each sample. Ruled out: reports that are late or lost (queue lengths were right). To blame: the starting values 1,000 tokens, nothing kept, no wait. Change: a starting value counts as one sample, and each sample weighs as much as one before it until 6% is reached. The mean itself stands with the bookkeeping. The test fails without it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -331,6 +331,38 @@
     (both, other)
 }
 
+/// A running mean of samples. What it starts from counts as one of them, so that a few already tell.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Mean {
+    value: f64,
+    seen: f64,
+}
+
+impl Mean {
+    pub(crate) fn from(value: f64) -> Self {
+        Mean { value, seen: 1.0 }
+    }
+
+    /// Takes one more sample, which weighs as much as each before it, but never less than `least`.
+    pub(crate) fn add(&mut self, sample: f64, least: f64) {
+        self.seen += 1.0;
+        self.value += least.max(1.0 / self.seen) * (sample - self.value);
+    }
+
+    /// Forgets this part of its value.
+    pub(crate) fn fade(&mut self, part: f64) {
+        self.value *= 1.0 - part;
+    }
+}
+
+impl std::ops::Deref for Mean {
+    type Target = f64;
+
+    fn deref(&self) -> &f64 {
+        &self.value
+    }
+}
+
 /// Two numbers below `n` at random: as if the last took the place of the first drawn.
 pub(crate) fn two_of(n: usize, mut chance: impl FnMut() -> f64) -> Vec<usize> {
     let mut pair = Vec::new();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
 //! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
 
-use crate::fleet::{shared, two_of, Counted, Fleet, Placed, Rest, Shelf, Standing};
+use crate::fleet::{shared, two_of, Counted, Fleet, Mean, Placed, Rest, Shelf, Standing};
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -26,7 +26,7 @@
 const PROTECTED_PART: f64 = 0.8;
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
-/// Weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
+/// Least weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
 const MEAN_WEIGHT: f64 = 0.06;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
@@ -171,11 +171,11 @@
 #[derive(Clone, Copy, Default)]
 struct Means {
     /// Latency by length, and its mean deviation, seconds a token.
-    pace: f64,
-    deviation: f64,
+    pace: Mean,
+    deviation: Mean,
     /// Time that attempts wait, and that they take as a whole, seconds.
-    waited: f64,
-    whole: f64,
+    waited: Mean,
+    whole: Mean,
     /// Own tokens a second to warm engines, as of `rate_at`; what one bears, a mean that outlives outages.
     rate: f64,
     rate_at: Duration,
@@ -195,9 +195,9 @@
     top_worth: f64,
     /// The first-token aim above which equal worths are droppable; `None` where worths differ.
     loose_aim: Option<Duration>,
-    mean_prompt: f64,
+    mean_prompt: Mean,
     /// Mean part of a prompt that its reader had not kept.
-    unread: f64,
+    unread: Mean,
     means: [Means; 3],
     /// Bookkeeping, so that no decision walks all engines.
     fleet: Fleet,
@@ -211,6 +211,7 @@
         let equal = worths().all(|w| w >= top_worth);
         let aims = || settings.classes.iter().map(|c| c.aim);
         let loose_aim = aims().max().filter(|&loose| equal && aims().any(|a| a < loose));
+        let [pace, deviation, none] = [FIRST_PACE, FIRST_PACE / 2.0, 0.0].map(Mean::from);
         let quotas = settings.tenants.iter().map(|_| (QUOTA_DEPTH, Duration::ZERO)).collect();
         Router {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -221,9 +222,9 @@
             quotas,
             top_worth,
             loose_aim,
-            mean_prompt: FIRST_PROMPT,
-            unread: 1.0,
-            means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
+            mean_prompt: Mean::from(FIRST_PROMPT),
+            unread: Mean::from(1.0),
+            means: [Means { pace, deviation, waited: none, whole: none, ..Means::default() }; 3],
             fleet: Fleet::default(),
             settings,
         }
@@ -253,7 +254,7 @@
             return out.push(Action::Fail(id));
         }
         self.settle(now);
-        self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
+        self.mean_prompt.add(request.prompt_tokens, MEAN_WEIGHT);
         let over_share = self.over_share(now, &request);
         let droppable = self.droppable(over_share, &request);
         let saturation = self.stage(now, Role::Read).max(self.stage(now, Role::Write));
@@ -275,10 +276,10 @@
     /// Whether its client will have left before an answer usually begins: abandoned tries eat the capacity
     /// that would serve them. Harm: a jam that is over refuses on, so each refusal lets the means forget.
     fn hopeless(&mut self, request: &Request) -> bool {
-        let usual = self.means[Role::Read as usize].waited + self.means[Role::Write as usize].waited;
+        let usual = *self.means[Role::Read as usize].waited + *self.means[Role::Write as usize].waited;
         let hopeless = request.time_left.as_secs_f64() < usual;
         if hopeless {
-            self.means.iter_mut().for_each(|means| means.waited *= 1.0 - MEAN_WEIGHT);
+            self.means.iter_mut().for_each(|means| means.waited.fade(MEAN_WEIGHT));
         }
         hopeless
     }
@@ -310,8 +311,8 @@
         let (mut sum, mut count) = (0.0, 0);
         for does in [Role::Read, Role::Write, Role::Both] {
             if does == role || does == Role::Both || role == Role::Both {
-                let to_read = if does == Role::Read { self.unread } else { 1.0 };
-                let queued = self.mean_prompt * to_read / WAITING_THRESHOLD;
+                let to_read = if does == Role::Read { *self.unread } else { 1.0 };
+                let queued = *self.mean_prompt * to_read / WAITING_THRESHOLD;
                 let weights = [queued, queued * self.usual(does) / WAITING_PRIOR];
                 let (fixed, known, moving) = self.fleet.sums(does as usize, weights);
                 let loads = moving.iter().filter_map(|id| self.load(now, self.servers.get(id)?));
@@ -336,14 +337,14 @@
         if now.saturating_sub(*at) > REPORT_LIFE {
             return None;
         }
-        let to_read = if server.role == Role::Read { self.unread } else { 1.0 };
+        let to_read = if server.role == Role::Read { *self.unread } else { 1.0 };
         // In-flight counts hold running answers too: only the part of its time that an attempt waits counts.
         let part =
             (server.waiting.max(0.0) + self.usual(server.role)) / (server.out.max(0.0) + WAITING_PRIOR);
         let counted = || report.queued.or(report.in_flight.map(|n| n * part));
         let waiting = match report.waiting_tokens {
             Some(tokens) => tokens + server.since,
-            None => (counted().unwrap_or(0.0) * self.mean_prompt + server.since) * to_read,
+            None => (counted().unwrap_or(0.0) * *self.mean_prompt + server.since) * to_read,
         };
         let memory = report.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
         Some((waiting / WAITING_THRESHOLD, memory))
@@ -352,7 +353,7 @@
     /// How many of the attempts that its estimate starts from wait.
     fn usual(&self, role: Role) -> f64 {
         let Means { waited, whole, .. } = self.means[role as usize];
-        WAITING_PRIOR * waited / whole.max(f64::EPSILON)
+        WAITING_PRIOR * *waited / whole.max(f64::EPSILON)
     }
 
     // ---- 2. Read, 3. Write ------------------------------------------------------------------
@@ -654,7 +655,7 @@
     /// has its own time: its work would be cancelled just before it ends, again and again.
     fn patience(&self, role: Role, own_pace: f64, prompt: f64) -> Duration {
         let Means { pace, deviation, .. } = self.means[role as usize];
-        let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * deviation) * (prompt + FIXED_TOKENS);
+        let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * *deviation) * (prompt + FIXED_TOKENS);
         MIN_PATIENCE.max(Duration::from_secs_f64(usual.min(LONGEST.as_secs_f64())))
     }
 
@@ -750,11 +751,11 @@
                 let mut tokens = prompt;
                 if read {
                     tokens = (prompt - ended.kept_tokens).max(0.0);
-                    self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
+                    self.unread.add(tokens / prompt.max(1.0), MEAN_WEIGHT);
                 }
                 let Means { waited, whole, .. } = &mut self.means[role as usize];
-                *waited += MEAN_WEIGHT * (begun.unwrap_or(latency).as_secs_f64() - *waited);
-                *whole += MEAN_WEIGHT * (latency.as_secs_f64() - *whole);
+                waited.add(begun.unwrap_or(latency).as_secs_f64(), MEAN_WEIGHT);
+                whole.add(latency.as_secs_f64(), MEAN_WEIGHT);
                 self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, tokens)))
             }
             Outcome::ConnectFailed => self.eject(now, engine, "no connection", out),
@@ -855,7 +856,7 @@
 
     /// An engine was heard of. If it could not be reached before, it counts as cold from now.
     fn reached(&mut self, now: Duration, engine: EngineId) {
-        let lack = self.chance() * self.mean_prompt;
+        let lack = self.chance() * *self.mean_prompt;
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         self.fleet.touch(engine);
@@ -874,8 +875,8 @@
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
         server.pace += if server.pace == 0.0 { pace } else { MEAN_WEIGHT * (pace - server.pace) };
         let means = &mut self.means[server.role as usize];
-        means.deviation += MEAN_WEIGHT * ((pace - means.pace).abs() - means.deviation);
-        means.pace += MEAN_WEIGHT * (pace - means.pace);
+        means.deviation.add((pace - *means.pace).abs(), MEAN_WEIGHT);
+        means.pace.add(pace, MEAN_WEIGHT);
     }
 
     /// Leaves alone an engine that could not be connected to, with backoff; then a probe tries it.
@@ -908,7 +909,7 @@
         let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
             / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
-        let least = self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
+        let least = *self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
         share * self.means[server.role as usize].borne.max(least)
     }
 
@@ -949,7 +950,7 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let lack = self.chance() * self.mean_prompt;
+            let lack = self.chance() * *self.mean_prompt;
             let (heard, bucket, bucket_at) = (now, -lack, now);
             let fresh =
                 || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -514,6 +514,25 @@
 
 /// Found on nairobi-highlights: a router that refuses all hears no answers, and full engines stay full
 /// in its eyes.
+/// Found on the standing test: one of 300 routers sees ten requests in a minute, and prompts were taken for a third of
+/// their length while the queues before them were seconds long.
+#[test]
+fn a_few_requests_tell_how_long_prompts_are() {
+    for prompt_tokens in [200.0, 1_000.0, 8_000.0] {
+        let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        for id in 0..8 {
+            host.ask(Request { prompt_tokens, ..request(id, 0) });
+            host.tell(Event::ClientGone(RequestId(id)));
+        }
+        let report = LoadReport { queued: Some(3.0), ..LoadReport::default() };
+        host.tell(Event::Probed { engine: EngineId(1), outcome: Outcome::Ok, report });
+        let refusals =
+            (100..150).filter(|&id| refused(&host.ask(Request { prompt_tokens, ..request(id, 1) })));
+        // 24,000 tokens wait where prompts are long.
+        assert_eq!(refusals.count() == 50, prompt_tokens == 8_000.0, "{prompt_tokens}");
+    }
+}
+
 /// Seen on the standing test: 6.8 probes a request, half of them of engines that the choice could not fall on.
 #[test]
 fn engines_to_spill_to_are_asked_only_where_the_homes_bear_more_than_the_prompt() {
