Module: only the mean prompt learns from a few samples; waits and paces as before

To blame: waits learnt from one or two samples refuse as hopeless what is not, and engines that are slow only then count as the usual pace. Change: the mean prompt alone.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -348,11 +348,6 @@
         self.seen += 1.0;
         self.value += least.max(1.0 / self.seen) * (sample - self.value);
     }
-
-    /// Forgets this part of its value.
-    pub(crate) fn fade(&mut self, part: f64) {
-        self.value *= 1.0 - part;
-    }
 }
 
 impl std::ops::Deref for Mean {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -171,11 +171,11 @@
 #[derive(Clone, Copy, Default)]
 struct Means {
     /// Latency by length, and its mean deviation, seconds a token.
-    pace: Mean,
-    deviation: Mean,
+    pace: f64,
+    deviation: f64,
     /// Time that attempts wait, and that they take as a whole, seconds.
-    waited: Mean,
-    whole: Mean,
+    waited: f64,
+    whole: f64,
     /// Own tokens a second to warm engines, as of `rate_at`; what one bears, a mean that outlives outages.
     rate: f64,
     rate_at: Duration,
@@ -197,7 +197,7 @@
     loose_aim: Option<Duration>,
     mean_prompt: Mean,
     /// Mean part of a prompt that its reader had not kept.
-    unread: Mean,
+    unread: f64,
     means: [Means; 3],
     /// Bookkeeping, so that no decision walks all engines.
     fleet: Fleet,
@@ -211,7 +211,6 @@
         let equal = worths().all(|w| w >= top_worth);
         let aims = || settings.classes.iter().map(|c| c.aim);
         let loose_aim = aims().max().filter(|&loose| equal && aims().any(|a| a < loose));
-        let [pace, deviation, none] = [FIRST_PACE, FIRST_PACE / 2.0, 0.0].map(Mean::from);
         let quotas = settings.tenants.iter().map(|_| (QUOTA_DEPTH, Duration::ZERO)).collect();
         Router {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -223,8 +222,8 @@
             top_worth,
             loose_aim,
             mean_prompt: Mean::from(FIRST_PROMPT),
-            unread: Mean::from(1.0),
-            means: [Means { pace, deviation, waited: none, whole: none, ..Means::default() }; 3],
+            unread: 1.0,
+            means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
             fleet: Fleet::default(),
             settings,
         }
@@ -276,10 +275,10 @@
     /// Whether its client will have left before an answer usually begins: abandoned tries eat the capacity
     /// that would serve them. Harm: a jam that is over refuses on, so each refusal lets the means forget.
     fn hopeless(&mut self, request: &Request) -> bool {
-        let usual = *self.means[Role::Read as usize].waited + *self.means[Role::Write as usize].waited;
+        let usual = self.means[Role::Read as usize].waited + self.means[Role::Write as usize].waited;
         let hopeless = request.time_left.as_secs_f64() < usual;
         if hopeless {
-            self.means.iter_mut().for_each(|means| means.waited.fade(MEAN_WEIGHT));
+            self.means.iter_mut().for_each(|means| means.waited *= 1.0 - MEAN_WEIGHT);
         }
         hopeless
     }
@@ -311,7 +310,7 @@
         let (mut sum, mut count) = (0.0, 0);
         for does in [Role::Read, Role::Write, Role::Both] {
             if does == role || does == Role::Both || role == Role::Both {
-                let to_read = if does == Role::Read { *self.unread } else { 1.0 };
+                let to_read = if does == Role::Read { self.unread } else { 1.0 };
                 let queued = *self.mean_prompt * to_read / WAITING_THRESHOLD;
                 let weights = [queued, queued * self.usual(does) / WAITING_PRIOR];
                 let (fixed, known, moving) = self.fleet.sums(does as usize, weights);
@@ -337,7 +336,7 @@
         if now.saturating_sub(*at) > REPORT_LIFE {
             return None;
         }
-        let to_read = if server.role == Role::Read { *self.unread } else { 1.0 };
+        let to_read = if server.role == Role::Read { self.unread } else { 1.0 };
         // In-flight counts hold running answers too: only the part of its time that an attempt waits counts.
         let part =
             (server.waiting.max(0.0) + self.usual(server.role)) / (server.out.max(0.0) + WAITING_PRIOR);
@@ -353,7 +352,7 @@
     /// How many of the attempts that its estimate starts from wait.
     fn usual(&self, role: Role) -> f64 {
         let Means { waited, whole, .. } = self.means[role as usize];
-        WAITING_PRIOR * *waited / whole.max(f64::EPSILON)
+        WAITING_PRIOR * waited / whole.max(f64::EPSILON)
     }
 
     // ---- 2. Read, 3. Write ------------------------------------------------------------------
@@ -655,7 +654,7 @@
     /// has its own time: its work would be cancelled just before it ends, again and again.
     fn patience(&self, role: Role, own_pace: f64, prompt: f64) -> Duration {
         let Means { pace, deviation, .. } = self.means[role as usize];
-        let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * *deviation) * (prompt + FIXED_TOKENS);
+        let usual = (pace.max(own_pace) + PATIENCE_DEVIATIONS * deviation) * (prompt + FIXED_TOKENS);
         MIN_PATIENCE.max(Duration::from_secs_f64(usual.min(LONGEST.as_secs_f64())))
     }
 
@@ -751,11 +750,11 @@
                 let mut tokens = prompt;
                 if read {
                     tokens = (prompt - ended.kept_tokens).max(0.0);
-                    self.unread.add(tokens / prompt.max(1.0), MEAN_WEIGHT);
+                    self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
                 }
                 let Means { waited, whole, .. } = &mut self.means[role as usize];
-                waited.add(begun.unwrap_or(latency).as_secs_f64(), MEAN_WEIGHT);
-                whole.add(latency.as_secs_f64(), MEAN_WEIGHT);
+                *waited += MEAN_WEIGHT * (begun.unwrap_or(latency).as_secs_f64() - *waited);
+                *whole += MEAN_WEIGHT * (latency.as_secs_f64() - *whole);
                 self.heard_well(now, engine, (read || begun.is_none()).then_some((latency, tokens)))
             }
             Outcome::ConnectFailed => self.eject(now, engine, "no connection", out),
@@ -875,8 +874,8 @@
         let pace = latency.as_secs_f64() / (prompt + FIXED_TOKENS);
         server.pace += if server.pace == 0.0 { pace } else { MEAN_WEIGHT * (pace - server.pace) };
         let means = &mut self.means[server.role as usize];
-        means.deviation.add((pace - *means.pace).abs(), MEAN_WEIGHT);
-        means.pace.add(pace, MEAN_WEIGHT);
+        means.deviation += MEAN_WEIGHT * ((pace - means.pace).abs() - means.deviation);
+        means.pace += MEAN_WEIGHT * (pace - means.pace);
     }
 
     /// Leaves alone an engine that could not be connected to, with backoff; then a probe tries it.
