Module: a reader that tells only its queue bears the prompts in its memory, too

Looked at: reports and choices logged: a reader of 128 slots shows one or two requests running (0.01 of its slots) and none queued while it reads a prompt of up to 40,000 tokens for seconds; its memory share of 0.13 counted as 1,700 tokens (share / 4.5 x 60,000). Ruled out: probes that fail (none silent), reports that are late. To blame: parts() takes what is read for memory alone, on the scale of the curve. Change: between readers that tell only a queue, memory share times the memory that the settings tell (new in Settings: memory_tokens), as far as it was not kept, is added to what they bear. The curve stays as it is.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -24,6 +24,7 @@
         tenants: vec![],
         over_share_worth: 0.05,
         kinds: vec![Role::Read, Role::Write, Role::Both],
+        memory_tokens: vec![],
         writers_read: false,
         ask_for_engines: false,
         reports: ReportSource::Answers,
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -70,6 +70,7 @@
         tenants: Vec::new(),
         over_share_worth: 0.05,
         kinds: KINDS.to_vec(),
+        memory_tokens: vec![],
         writers_read: false,
         ask_for_engines: false,
         reports: ReportSource::Answers,
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -214,6 +214,7 @@
         tenants,
         over_share_worth: pairs.number("over_share_worth", Some(1.0))?,
         kinds,
+        memory_tokens: pairs.numbers("extra.tokens_by_kind")?,
         writers_read: pairs.flag("extra.local_read")?,
         ask_for_engines: pairs.word(
             "discovery",
@@ -337,7 +338,9 @@
         let more = "new.key=7\nreport.columns=x1,pending,x0,shoe_size\n\
                     extra.report_x0=share_of_memory_that_is_held\n\
                     extra.report_x1=thousands_of_prompt_tokens_waiting_to_be_read_or_fetched\n";
-        let columns = parse(&format!("{LEAST}{more}")).unwrap().columns;
+        let more = format!("{more}extra.tokens_by_kind=317000,880000\n");
+        let Profile { columns, settings, .. } = parse(&format!("{LEAST}{more}")).unwrap();
+        assert_eq!(settings.memory_tokens, [317_000.0, 880_000.0]);
         assert_eq!(columns, [Column::WaitingThousands, Column::Queued, Column::MemoryShare, Column::Other]);
     }
 
@@ -352,7 +355,13 @@
         ] {
             assert!(parse(text).unwrap_err().0.starts_with(key), "{text}");
         }
-        for bad in ["tick=NaN", "tick=-1", "limits.cancelling=maybe", "extra.role_by_kind=read,sing"] {
+        for bad in [
+            "extra.tokens_by_kind=9,x",
+            "tick=NaN",
+            "tick=-1",
+            "limits.cancelling=maybe",
+            "extra.role_by_kind=read,sing",
+        ] {
             let err = parse(&format!("{LEAST}{bad}\n")).unwrap_err().0;
             assert!(err.starts_with(bad.split('=').next().unwrap()), "{err}");
         }
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -178,6 +178,7 @@
         tenants,
         over_share_worth: doc.or(at, "over_share_worth", start.over_share_worth),
         kinds: KINDS.to_vec(),
+        memory_tokens: vec![],
         writers_read: doc.or(at, "writers_read", start.writers_read),
         ask_for_engines: false,
         reports: doc.or(at, "reports", start.reports),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -35,6 +35,14 @@
     Moves,
 }
 
+/// Which engines an attempt may go to, by their shelves.
+#[derive(Clone, Copy)]
+pub(crate) enum Reach {
+    Read,
+    ReadAndWrite,
+    Write,
+}
+
 /// One engine as the list has it.
 pub(crate) struct Placed {
     pub(crate) id: EngineId,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     pub over_share_worth: f64,
     /// The role of each kind of engine.
     pub kinds: Vec<Role>,
+    /// The memory of each kind, tokens; empty where that is not told.
+    pub memory_tokens: Vec<f64>,
     /// Whether a writer reads a prompt itself when there is no state to fetch.
     pub writers_read: bool,
     /// Whether the list of engines has to be asked for.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //!     tenants: vec![],
 //!     over_share_worth: 1.0,
 //!     kinds: vec![Role::Read, Role::Write],
+//!     memory_tokens: vec![],
 //!     writers_read: false,
 //!     ask_for_engines: false,
 //!     reports: ReportSource::Answers,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
 //! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
 
-use crate::fleet::{shared, two_of, Counted, Fleet, Mean, Placed, Rest, Shelf, Standing};
+use crate::fleet::{shared, two_of, Counted, Fleet, Mean, Placed, Reach, Rest, Shelf, Standing};
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -108,7 +108,7 @@
     /// Until when it is passed over for each class, as it was full.
     rests: Vec<Duration>,
     /// The bucket of a cold engine, tokens, as of `bucket_at`. It starts short by a chance part of a prompt:
-    /// all routers hear of it at once, and hundreds of first sends at one moment would push it over.
+    /// hundreds of routers hear of it at once.
     bucket: f64,
     bucket_at: Duration,
     probing: bool,
@@ -116,14 +116,6 @@
     askers: Vec<RequestId>,
 }
 
-/// Which engines an attempt may go to, by their shelves in `fleet`.
-#[derive(Clone, Copy)]
-enum Reach {
-    Read,
-    ReadAndWrite,
-    Write,
-}
-
 struct Attempt {
     engine: EngineId,
     sent: Duration,
@@ -272,8 +264,8 @@
         self.advance(now, id, out);
     }
 
-    /// Whether its client will have left before an answer usually begins: abandoned tries eat the capacity
-    /// that would serve them. Harm: a jam that is over refuses on, so each refusal lets the means forget.
+    /// Whether its client will have left before an answer usually begins: abandoned tries eat capacity. Harm:
+    /// a jam that is over refuses on, so each refusal lets the means forget.
     fn hopeless(&mut self, request: &Request) -> bool {
         let usual = self.means[Role::Read as usize].waited + self.means[Role::Write as usize].waited;
         let hopeless = request.time_left.as_secs_f64() < usual;
@@ -349,6 +341,17 @@
         Some((waiting / WAITING_THRESHOLD, memory))
     }
 
+    /// Tokens under way at a reader that tells only its queue: those in its memory that were not kept. One
+    /// long prompt that is read stands in no queue, and holds up all behind it.
+    fn reading(&self, server: &Server) -> f64 {
+        let Some((_, report)) = server.report.as_ref().filter(|_| server.role == Role::Read) else {
+            return 0.0;
+        };
+        let counted = report.waiting_tokens.or(report.in_flight).is_some();
+        let size = self.settings.memory_tokens.get(server.entry.kind.0).filter(|_| !counted);
+        report.memory_share.unwrap_or(0.0) * size.copied().unwrap_or(0.0) * self.unread
+    }
+
     /// How many of the attempts that its estimate starts from wait.
     fn usual(&self, role: Role) -> f64 {
         let Means { waited, whole, .. } = self.means[role as usize];
@@ -398,9 +401,8 @@
         }
     }
 
-    /// Rendezvous hashing of the shared beginning, else the session: the top two usable readers, in the
-    /// order of the session; others only as spill from a hot beginning. A mixed engine needs one
-    /// attempt for both stages; after a reader another is needed for the write.
+    /// Rendezvous hashing of the shared beginning, else the session: the top two usable readers, in the order
+    /// of the session; others only as spill. A mixed engine needs one attempt for both stages, others two.
     fn readers(&mut self, now: Duration, id: RequestId, left: usize) -> (Vec<EngineId>, Vec<EngineId>) {
         let reach = if left >= 2 { Reach::Read } else { Reach::ReadAndWrite };
         let (_, gone) = self.pool(now, id, reach);
@@ -538,9 +540,7 @@
         }
     }
 
-    /// The preferred engine that bears least by its report (else its stage's mean) and our own tokens, unless
-    /// another bears so much less that going there is quicker. Of those asked, one that has not answered
-    /// comes last: it is busy, cut off, dead or has no connection yet.
+    /// The preferred engine that bears least, unless another bears so much less that going there is quicker.
     fn choose(&self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
         let choice = job.choice.as_ref()?;
@@ -549,23 +549,24 @@
         far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
     }
 
-    /// Which engine bears least, and how many tokens.
+    /// Which engine bears least by its report (else its stage's mean) and our own tokens, and how many. One
+    /// that was asked and has not answered comes last: it is busy, cut off, dead or has no connection yet.
     fn least(&self, now: Duration, job: &Job, pool: &[EngineId]) -> Option<(EngineId, f64)> {
         let asked = job.choice.as_ref()?.asked;
         let bears = |id: &EngineId| {
             let server = self.servers.get(id).filter(|s| s.ready())?;
-            let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
-            let load = load.unwrap_or_else(|| self.stage(now, server.role)) * WAITING_THRESHOLD;
+            let load = |(waiting, memory)| (waiting + memory) * WAITING_THRESHOLD + self.reading(server);
+            let load = self.parts(now, server).map(load);
+            let load = load.unwrap_or_else(|| self.stage(now, server.role) * WAITING_THRESHOLD);
             let silent = if server.heard + FRESH < asked { SILENT_TOKENS } else { 0.0 };
             Some((*id, load + server.tokens + silent))
         };
         pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// The usable engines for this request's next attempt. Those it has tried, and those that just
-    /// were full, are passed over while there are others. Under the panic threshold the unreachable
-    /// ones are usable again: connections that fail at most engines are slow, not dead.
-    /// Given as the shelf of all within reach and, in order, the places on it that are not usable.
+    /// The usable engines for this request's next attempt. Those it has tried, and those that just were full,
+    /// are passed over while there are others. Under the panic threshold unreachable ones are usable again:
+    /// connections are slow, not dead. Given as a shelf and, in order, the places on it that are not usable.
     fn pool(&mut self, now: Duration, id: RequestId, reach: Reach) -> (Arc<Shelf>, Vec<u32>) {
         let shelf = self.fleet.shelf(reach as usize);
         let mut odd = std::mem::take(&mut self.fleet.odd);
@@ -713,7 +714,7 @@
             // The state still waits unless it was fetched: asking another writer for it tells. With two
             // attempts left that would leave too few, and the reader has kept the text: it is read again.
             Outcome::Error | Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if left == 2 => None,
-            // It came to no writer, so its time runs on: kept if one more that can't be reached leaves enough.
+            // It came to no writer, so its time runs on: kept if one more such write leaves enough.
             Outcome::ConnectFailed | Outcome::Moot => {
                 state.filter(|&(_, since)| now + one_more <= since + self.settings.let_go_within)
             }
@@ -766,9 +767,8 @@
         }
     }
 
-    /// An attempt has said nothing for its patience: its engine is dead, cut off or stalled, or does the
-    /// work but its answer is lost. A read goes again elsewhere, and so does a write that may run twice; an
-    /// unsafe write is awaited. Harm: a long queue or a stall costs the work twice.
+    /// An attempt has said nothing for its patience: its engine is lost or stalled, or its answer is. A read
+    /// goes elsewhere, and so does a write that may run twice. Harm: a long queue costs the work twice.
     fn on_check(&mut self, id: RequestId, attempt: usize, out: Out) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
         let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
@@ -895,15 +895,13 @@
 
     // ---- 8. Cold --------------------------------------------------------------------------------
 
-    /// Told to have started, or back from where it could not be reached: it may have restarted long
-    /// before the list says so, and what is sent while it comes up counts against it. Guards against
-    /// a fleet that returns at once; harm: after a mere cut an engine gets its full share late.
+    /// Told to have started, or back from where it could not be reached: it may have restarted long before
+    /// the list says so, and what is sent meanwhile counts. Harm: after a mere cut its share comes late.
     fn is_cold(&self, now: Duration, server: &Server) -> bool {
         server.cold_since(now).is_some_and(|at| now < at.saturating_add(self.settings.cold_time))
     }
 
-    /// What a cold engine may be sent, tokens a second: the share that it can surely do of what warm
-    /// engines of the role bear from this router. Every router does the same with its own part.
+    /// What this router may send a cold engine, tokens a second: its share of what a warm one bears from it.
     fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
         let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
             / self.settings.cold_time.as_secs_f64().max(1e-3);
@@ -1028,9 +1026,8 @@
     }
 }
 
-/// The curve of the llm-d post. Exception: where it refuses all droppable requests and saturation still
-/// stands that high, what is left of the fleet can't carry the protected ones either; all would come too
-/// late. The same curve, on a part of the saturation, then holds for them.
+/// The curve of the llm-d post. Exception: where it refuses all droppable requests, what is left of the fleet
+/// can't carry the protected ones either. The same curve, on a part of the saturation, then holds for them.
 fn refusal_chance(saturation: f64, droppable: bool) -> f64 {
     let curve = |s: f64| (CURVE_FACTOR * s.powi(CURVE_POWER)).min(1.0);
     match curve(saturation) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -533,6 +533,27 @@
     }
 }
 
+/// Found on the standing test: a prompt of 40,000 tokens takes seconds to read and stands in no queue meanwhile; at 0.13 of
+/// the memory it counted as 1,700 tokens, and every home that read one seemed idle.
+#[test]
+fn a_reader_at_a_long_prompt_bears_what_is_in_its_memory() {
+    let told = |queued, memory| LoadReport {
+        queued: Some(queued),
+        memory_share: Some(memory),
+        ..LoadReport::default()
+    };
+    for (memory_tokens, busy_is_taken) in [(vec![300_000.0, 900_000.0, 0.0], false), (vec![], true)] {
+        let s = Settings { memory_tokens, ..settings(Effect::Safe) };
+        let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)]);
+        // One reads a long prompt and nothing waits behind it; at the other two short ones wait.
+        for (id, report) in [(1, told(0.0, 0.13)), (2, told(2.0, 0.01))] {
+            host.tell(Event::Probed { engine: EngineId(id), outcome: Outcome::Ok, report });
+        }
+        let taken = sent_to(&host.ask(request(1, 0)));
+        assert_eq!(taken, Some(if busy_is_taken { 1 } else { 2 }));
+    }
+}
+
 /// Seen on the standing test: 6.8 probes a request, half of them of engines that the choice could not fall on.
 #[test]
 fn engines_to_spill_to_are_asked_only_where_the_homes_bear_more_than_the_prompt() {
