Module: of two homes the one whose cell has a writer reads, unless it bears more

Looked at: the list: 90 readers and 10 writers in 20 cells, half of the cells without a writer; homes by writers bounds weights to 0.75 and 1.25, and counts a cell without writers as one with half a writer. Ruled out: writers that are passed over (pairs of the reader's cell come first). To blame: the choice between two homes did not count that all states of one go far. Change: a reader in a cell without a ready writer bears, beside its load, what the prompt would cost to read.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -187,6 +187,11 @@
         ids(shelf.first(n, gone, chance))
     }
 
+    /// Whether a ready engine that writes stands in a cell.
+    pub(crate) fn has_writer(&self, cell: CellId) -> bool {
+        self.shelves[Reach::Write as usize].by_cell.contains_key(&cell)
+    }
+
     /// How many of a role are ready.
     pub(crate) fn ready(&self, role: usize) -> usize {
         self.ready[role]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -559,7 +559,10 @@
             let load = self.parts(now, server).map(load);
             let load = load.unwrap_or_else(|| self.stage(now, server.role) * WAITING_THRESHOLD);
             let silent = if server.heard + FRESH < asked { SILENT_TOKENS } else { 0.0 };
-            Some((*id, load + server.tokens + silent))
+            // Exception: where no writer stands in its cell, all its states go far, which is slow and priced.
+            let lone = server.role == Role::Read && !self.fleet.has_writer(server.entry.cell);
+            let moves = if lone { self.unread * job.request.prompt_tokens } else { 0.0 };
+            Some((*id, load + server.tokens + silent + moves))
         };
         pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1))
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -533,6 +533,21 @@
     }
 }
 
+/// Found on the standing test: half of the cells had no writer, and nearly all states moved far, at a price.
+#[test]
+fn of_two_homes_the_one_with_a_writer_in_its_cell_reads_unless_it_bears_more() {
+    for (writer_at, waiting, expected) in [(0, 0.0, 0), (1, 0.0, 1), (0, 600.0, 0), (0, 2_500.0, 1)] {
+        for id in 0..20 {
+            let engines = vec![engine(1, 0, 0), engine(2, 0, 1), engine(3, 1, writer_at)];
+            let mut host = Host::new(settings(Effect::Safe), id, engines);
+            host.report(2 - u64::from(writer_at), 0.0);
+            host.report(1 + u64::from(writer_at), waiting);
+            let taken = sent_to(&host.ask(request(id, 0)));
+            assert_eq!(taken, Some(1 + expected), "writer at {writer_at}, {waiting} waiting there");
+        }
+    }
+}
+
 /// Found on the standing test: a prompt of 40,000 tokens takes seconds to read and stands in no queue meanwhile; at 0.13 of
 /// the memory it counted as 1,700 tokens, and every home that read one seemed idle.
 #[test]
