--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -35,6 +35,14 @@
     Moves,
 }
 
+/// Which engines an attempt may go to, by their shelves.
+#[derive(Clone, Copy)]
+pub(crate) enum Reach {
+    Read,
+    ReadAndWrite,
+    Write,
+}
+
 /// One engine as the list has it.
 pub(crate) struct Placed {
     pub(crate) id: EngineId,
@@ -179,6 +187,11 @@
         ids(shelf.first(n, gone, chance))
     }
 
+    /// Whether a ready engine that writes stands in a cell.
+    pub(crate) fn has_writer(&self, cell: CellId) -> bool {
+        self.shelves[Reach::Write as usize].by_cell.contains_key(&cell)
+    }
+
     /// How many of a role are ready.
     pub(crate) fn ready(&self, role: usize) -> usize {
         self.ready[role]
@@ -331,6 +344,43 @@
     (both, other)
 }
 
+/// A running mean of samples. What it starts from counts as one of them, so that a few already tell.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Mean {
+    value: f64,
+    seen: f64,
+}
+
+impl Mean {
+    pub(crate) fn from(value: f64) -> Self {
+        Mean { value, seen: 1.0 }
+    }
+
+    /// Takes one more sample, which weighs as much as each before it, but never less than `least`.
+    pub(crate) fn add(&mut self, sample: f64, least: f64) {
+        self.seen += 1.0;
+        self.value += least.max(1.0 / self.seen) * (sample - self.value);
+    }
+}
+
+impl std::ops::Deref for Mean {
+    type Target = f64;
+
+    fn deref(&self) -> &f64 {
+        &self.value
+    }
+}
+
+/// Two numbers below `n` at random: as if the last took the place of the first drawn.
+pub(crate) fn two_of(n: usize, mut chance: impl FnMut() -> f64) -> Vec<usize> {
+    let mut pair = Vec::new();
+    for left in [n, n.saturating_sub(1)].into_iter().filter(|&left| left > 0) {
+        let at = (chance() * left as f64) as usize;
+        pair.push(if pair.first() == Some(&at) { n - 1 } else { at });
+    }
+    pair
+}
+
 /// Marks on positions, counted and numbered in logarithmic time: a binary indexed tree.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Marks {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! refused with probability min(300 s^5, 1), s being the mean saturation of the engines. Protected
 //! requests pass. The rest of the file places what was admitted and keeps the rules when engines fail.
 
-use crate::fleet::{shared, Counted, Fleet, Placed, Rest, Shelf, Standing};
+use crate::fleet::{shared, two_of, Counted, Fleet, Mean, Placed, Reach, Rest, Shelf, Standing};
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -16,10 +16,8 @@
 
 pub(crate) mod gauge;
 
-/// Factor of the refusal curve; no unit. From the llm-d post.
-const CURVE_FACTOR: f64 = 300.0;
-/// Power of the refusal curve; no unit. From the llm-d post.
-const CURVE_POWER: i32 = 5;
+const CURVE_FACTOR: f64 = 300.0; // Factor of the refusal curve; no unit. From the llm-d post.
+const CURVE_POWER: i32 = 5; // Power of the refusal curve; no unit. From the llm-d post.
 /// Prompt tokens waiting at one engine that count as saturation 1. Starting value of the design.
 const WAITING_THRESHOLD: f64 = 60_000.0;
 /// Share of memory that counts as saturation 1. From the design: full memory alone refuses one in six.
@@ -28,7 +26,7 @@
 const PROTECTED_PART: f64 = 0.8;
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
-/// Weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
+/// Least weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
 const MEAN_WEIGHT: f64 = 0.06;
 /// Prompt length assumed before the first request, tokens. Any plausible size does.
 const FIRST_PROMPT: f64 = 1_000.0;
@@ -48,8 +46,7 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(900);
 /// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
-/// Pace before any was seen, seconds a token. A slow reader's.
-const FIRST_PACE: f64 = 0.000_3;
+const FIRST_PACE: f64 = 0.000_3; // Pace before any was seen, seconds a token. A slow reader's.
 /// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
 const FIXED_TOKENS: f64 = 500.0;
 /// Part of the let-go limit after which held state that finds no writer is let go; no unit.
@@ -111,7 +108,7 @@
     /// Until when it is passed over for each class, as it was full.
     rests: Vec<Duration>,
     /// The bucket of a cold engine, tokens, as of `bucket_at`. It starts short by a chance part of a prompt:
-    /// all routers hear of it at once, and hundreds of first sends at one moment would push it over.
+    /// hundreds of routers hear of it at once.
     bucket: f64,
     bucket_at: Duration,
     probing: bool,
@@ -119,14 +116,6 @@
     askers: Vec<RequestId>,
 }
 
-/// Which engines an attempt may go to, by their shelves in `fleet`.
-#[derive(Clone, Copy)]
-enum Reach {
-    Read,
-    ReadAndWrite,
-    Write,
-}
-
 struct Attempt {
     engine: EngineId,
     sent: Duration,
@@ -164,6 +153,8 @@
 struct Choice {
     step: usize,
     asked: Duration,
+    /// Those far are asked, too.
+    wide: bool,
     near: Vec<EngineId>,
     far: Vec<EngineId>,
 }
@@ -196,7 +187,7 @@
     top_worth: f64,
     /// The first-token aim above which equal worths are droppable; `None` where worths differ.
     loose_aim: Option<Duration>,
-    mean_prompt: f64,
+    mean_prompt: Mean,
     /// Mean part of a prompt that its reader had not kept.
     unread: f64,
     means: [Means; 3],
@@ -222,7 +213,7 @@
             quotas,
             top_worth,
             loose_aim,
-            mean_prompt: FIRST_PROMPT,
+            mean_prompt: Mean::from(FIRST_PROMPT),
             unread: 1.0,
             means: [Means { pace: FIRST_PACE, deviation: FIRST_PACE / 2.0, ..Means::default() }; 3],
             fleet: Fleet::default(),
@@ -254,7 +245,7 @@
             return out.push(Action::Fail(id));
         }
         self.settle(now);
-        self.mean_prompt += MEAN_WEIGHT * (request.prompt_tokens - self.mean_prompt);
+        self.mean_prompt.add(request.prompt_tokens, MEAN_WEIGHT);
         let over_share = self.over_share(now, &request);
         let droppable = self.droppable(over_share, &request);
         let saturation = self.stage(now, Role::Read).max(self.stage(now, Role::Write));
@@ -273,8 +264,8 @@
         self.advance(now, id, out);
     }
 
-    /// Whether its client will have left before an answer usually begins: abandoned tries eat the capacity
-    /// that would serve them. Harm: a jam that is over refuses on, so each refusal lets the means forget.
+    /// Whether its client will have left before an answer usually begins: abandoned tries eat capacity. Harm:
+    /// a jam that is over refuses on, so each refusal lets the means forget.
     fn hopeless(&mut self, request: &Request) -> bool {
         let usual = self.means[Role::Read as usize].waited + self.means[Role::Write as usize].waited;
         let hopeless = request.time_left.as_secs_f64() < usual;
@@ -312,7 +303,7 @@
         for does in [Role::Read, Role::Write, Role::Both] {
             if does == role || does == Role::Both || role == Role::Both {
                 let to_read = if does == Role::Read { self.unread } else { 1.0 };
-                let queued = self.mean_prompt * to_read / WAITING_THRESHOLD;
+                let queued = *self.mean_prompt * to_read / WAITING_THRESHOLD;
                 let weights = [queued, queued * self.usual(does) / WAITING_PRIOR];
                 let (fixed, known, moving) = self.fleet.sums(does as usize, weights);
                 let loads = moving.iter().filter_map(|id| self.load(now, self.servers.get(id)?));
@@ -344,12 +335,23 @@
         let counted = || report.queued.or(report.in_flight.map(|n| n * part));
         let waiting = match report.waiting_tokens {
             Some(tokens) => tokens + server.since,
-            None => (counted().unwrap_or(0.0) * self.mean_prompt + server.since) * to_read,
+            None => (counted().unwrap_or(0.0) * *self.mean_prompt + server.since) * to_read,
         };
         let memory = report.memory_share.unwrap_or(0.0) / MEMORY_THRESHOLD;
         Some((waiting / WAITING_THRESHOLD, memory))
     }
 
+    /// Tokens under way at a reader that tells only its queue: those in its memory that were not kept. One
+    /// long prompt that is read stands in no queue, and holds up all behind it.
+    fn reading(&self, server: &Server) -> f64 {
+        let Some((_, report)) = server.report.as_ref().filter(|_| server.role == Role::Read) else {
+            return 0.0;
+        };
+        let counted = report.waiting_tokens.or(report.in_flight).is_some();
+        let size = self.settings.memory_tokens.get(server.entry.kind.0).filter(|_| !counted);
+        report.memory_share.unwrap_or(0.0) * size.copied().unwrap_or(0.0) * self.unread
+    }
+
     /// How many of the attempts that its estimate starts from wait.
     fn usual(&self, role: Role) -> f64 {
         let Means { waited, whole, .. } = self.means[role as usize];
@@ -373,11 +375,20 @@
         }
         let (held, again) = (job.held.is_some(), !job.attempts.is_empty());
         if job.choice.as_ref().is_none_or(|c| c.step != job.attempts.len()) {
-            let choice = if held { self.writers(now, id) } else { self.readers(now, id, left) };
-            if self.ask(now, id, choice, out) {
+            let (step, asked, wide) = (job.attempts.len(), now, false);
+            let (near, far) = if held { self.writers(now, id) } else { self.readers(now, id, left) };
+            let Some(job) = self.jobs.get_mut(&id) else { return };
+            job.choice = Some(Choice { step, asked, wide, near, far });
+            if self.ask(now, id, false, out) {
                 return;
             }
         }
+        // Those far can matter only where the near ones bear more than the request itself.
+        let Some(job) = self.jobs.get(&id) else { return };
+        let near = job.choice.as_ref().and_then(|c| self.least(now, job, &c.near));
+        if near.is_none_or(|(_, bears)| bears > job.request.prompt_tokens) && self.ask(now, id, true, out) {
+            return;
+        }
         let target = self.choose(now, id);
         // State that could not be fetched may still wait where the writer could not reach it.
         if !held && again {
@@ -390,9 +401,8 @@
         }
     }
 
-    /// Rendezvous hashing of the shared beginning, else the session: the top two usable readers, in the
-    /// order of the session; others only as spill from a hot beginning. A mixed engine needs one
-    /// attempt for both stages; after a reader another is needed for the write.
+    /// Rendezvous hashing of the shared beginning, else the session: the top two usable readers, in the order
+    /// of the session; others only as spill. A mixed engine needs one attempt for both stages, others two.
     fn readers(&mut self, now: Duration, id: RequestId, left: usize) -> (Vec<EngineId>, Vec<EngineId>) {
         let reach = if left >= 2 { Reach::Read } else { Reach::ReadAndWrite };
         let (_, gone) = self.pool(now, id, reach);
@@ -490,42 +500,32 @@
             }
             let (pair, other) =
                 (Rest::new(near.len(), [&missing, &[]]), Rest::new(shelf.len(), [near, &beyond]));
-            let pair =
-                self.two_of(pair.len()).into_iter().map(|k| shelf.id(near[pair.nth(k)] as usize)).collect();
-            let other = self.two_of(other.len()).into_iter().map(|k| shelf.id(other.nth(k))).collect();
-            return (pair, other);
+            let two = two_of(pair.len(), || self.chance()).into_iter();
+            let pair = two.map(|k| shelf.id(near[pair.nth(k)] as usize)).collect();
+            let two = two_of(other.len(), || self.chance()).into_iter();
+            return (pair, two.map(|k| shelf.id(other.nth(k))).collect());
         }
         let all = Rest::new(shelf.len(), [&gone, &[]]);
-        (self.two_of(all.len()).into_iter().map(|k| shelf.id(all.nth(k))).collect(), Vec::new())
+        let two = two_of(all.len(), || self.chance()).into_iter();
+        (two.map(|k| shelf.id(all.nth(k))).collect(), Vec::new())
     }
 
-    /// Two numbers below `n` at random: as if the last took the place of the first drawn.
-    fn two_of(&mut self, n: usize) -> Vec<usize> {
-        let mut pair = Vec::new();
-        for left in [n, n.saturating_sub(1)].into_iter().filter(|&left| left > 0) {
-            let at = (self.chance() * left as f64) as usize;
-            pair.push(if pair.first() == Some(&at) { n - 1 } else { at });
-        }
-        pair
-    }
-
-    /// Keeps what the request chooses from and asks those whose reports are old, so that the choice
-    /// goes by fresh load though this router rarely meets an engine. Whether there is one to wait for.
-    fn ask(
-        &mut self, now: Duration, id: RequestId, (near, far): (Vec<EngineId>, Vec<EngineId>), out: Out,
-    ) -> bool {
+    /// Asks those near or far of its choice whose reports are old, so that it goes by fresh load though this
+    /// router rarely meets an engine; the far ones once. Whether there is one to wait for.
+    fn ask(&mut self, now: Duration, id: RequestId, far: bool, out: Out) -> bool {
+        let choice = self.jobs.get_mut(&id).filter(|_| self.settings.limits.probes);
+        let choice = choice.and_then(|j| j.choice.as_mut());
+        let Some(choice) = choice.filter(|c| !c.wide && c.near.len() + c.far.len() > 1) else { return false };
+        choice.wide = far;
+        let pool = if far { choice.far.clone() } else { choice.near.clone() };
         let mut waits = false;
-        if near.len() + far.len() > 1 && self.settings.limits.probes {
-            for engine in near.iter().chain(&far) {
-                let Some(server) = self.servers.get_mut(engine).filter(|s| !s.fresh(now)) else { continue };
-                server.askers.push(id);
-                self.probe(*engine, out);
-                waits = true;
-            }
+        for engine in pool {
+            let Some(server) = self.servers.get_mut(&engine).filter(|s| !s.fresh(now)) else { continue };
+            server.askers.push(id);
+            self.probe(engine, out);
+            waits = true;
         }
-        let Some(job) = self.jobs.get_mut(&id) else { return false };
-        job.choice = Some(Choice { step: job.attempts.len(), asked: now, near, far });
-        if waits {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| waits) {
             job.parked = Some(now + ASK_WAIT);
             self.alarm(Alarm::Parked(id), ASK_WAIT, out);
         }
@@ -535,35 +535,41 @@
     /// A refused request asks too, as a router that refuses all would hear nothing any more.
     fn ask_anyone(&mut self, now: Duration, out: Out) {
         self.settle(now);
-        let pair = self.two_of(self.fleet.old());
-        let pair: Vec<EngineId> = pair.into_iter().map(|k| self.fleet.nth_old(k)).collect();
-        pair.into_iter().for_each(|engine| self.probe(engine, out));
+        for k in two_of(self.fleet.old(), || self.chance()) {
+            self.probe(self.fleet.nth_old(k), out);
+        }
     }
 
-    /// The preferred engine that bears least by its report (else its stage's mean) and our own tokens, unless
-    /// another bears so much less that going there is quicker. Of those asked, one that has not answered
-    /// comes last: it is busy, cut off, dead or has no connection yet.
+    /// The preferred engine that bears least, unless another bears so much less that going there is quicker.
     fn choose(&self, now: Duration, id: RequestId) -> Option<EngineId> {
         let job = self.jobs.get(&id)?;
         let choice = job.choice.as_ref()?;
-        let own = job.request.prompt_tokens;
+        let (near, far) = (self.least(now, job, &choice.near), self.least(now, job, &choice.far));
+        let spills = |far| near.is_none_or(|(_, near)| near > FAR_FACTOR * far + job.request.prompt_tokens);
+        far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
+    }
+
+    /// Which engine bears least by its report (else its stage's mean) and our own tokens, and how many. One
+    /// that was asked and has not answered comes last: it is busy, cut off, dead or has no connection yet.
+    fn least(&self, now: Duration, job: &Job, pool: &[EngineId]) -> Option<(EngineId, f64)> {
+        let asked = job.choice.as_ref()?.asked;
         let bears = |id: &EngineId| {
             let server = self.servers.get(id).filter(|s| s.ready())?;
-            let load = self.parts(now, server).map(|(waiting, memory)| waiting + memory);
-            let load = load.unwrap_or_else(|| self.stage(now, server.role));
-            let silent = if server.heard + FRESH < choice.asked { SILENT_TOKENS } else { 0.0 };
-            Some((*id, load * WAITING_THRESHOLD + server.tokens + silent))
+            let load = |(waiting, memory)| (waiting + memory) * WAITING_THRESHOLD + self.reading(server);
+            let load = self.parts(now, server).map(load);
+            let load = load.unwrap_or_else(|| self.stage(now, server.role) * WAITING_THRESHOLD);
+            let silent = if server.heard + FRESH < asked { SILENT_TOKENS } else { 0.0 };
+            // Exception: where no writer stands in its cell, all its states go far, which is slow and priced.
+            let lone = server.role == Role::Read && !self.fleet.has_writer(server.entry.cell);
+            let moves = if lone { self.unread * job.request.prompt_tokens } else { 0.0 };
+            Some((*id, load + server.tokens + silent + moves))
         };
-        let least = |pool: &[EngineId]| pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1));
-        let (near, far) = (least(&choice.near), least(&choice.far));
-        let spills = |far: f64| near.is_none_or(|(_, near)| near > FAR_FACTOR * far + own);
-        far.filter(|&(_, far)| spills(far)).or(near).map(|(id, _)| id)
+        pool.iter().filter_map(bears).min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// The usable engines for this request's next attempt. Those it has tried, and those that just
-    /// were full, are passed over while there are others. Under the panic threshold the unreachable
-    /// ones are usable again: connections that fail at most engines are slow, not dead.
-    /// Given as the shelf of all within reach and, in order, the places on it that are not usable.
+    /// The usable engines for this request's next attempt. Those it has tried, and those that just were full,
+    /// are passed over while there are others. Under the panic threshold unreachable ones are usable again:
+    /// connections are slow, not dead. Given as a shelf and, in order, the places on it that are not usable.
     fn pool(&mut self, now: Duration, id: RequestId, reach: Reach) -> (Arc<Shelf>, Vec<u32>) {
         let shelf = self.fleet.shelf(reach as usize);
         let mut odd = std::mem::take(&mut self.fleet.odd);
@@ -711,7 +717,7 @@
             // The state still waits unless it was fetched: asking another writer for it tells. With two
             // attempts left that would leave too few, and the reader has kept the text: it is read again.
             Outcome::Error | Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if left == 2 => None,
-            // It came to no writer, so its time runs on: kept if one more that can't be reached leaves enough.
+            // It came to no writer, so its time runs on: kept if one more such write leaves enough.
             Outcome::ConnectFailed | Outcome::Moot => {
                 state.filter(|&(_, since)| now + one_more <= since + self.settings.let_go_within)
             }
@@ -764,9 +770,8 @@
         }
     }
 
-    /// An attempt has said nothing for its patience: its engine is dead, cut off or stalled, or does the
-    /// work but its answer is lost. A read goes again elsewhere, and so does a write that may run twice; an
-    /// unsafe write is awaited. Harm: a long queue or a stall costs the work twice.
+    /// An attempt has said nothing for its patience: its engine is lost or stalled, or its answer is. A read
+    /// goes elsewhere, and so does a write that may run twice. Harm: a long queue costs the work twice.
     fn on_check(&mut self, id: RequestId, attempt: usize, out: Out) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended) else { return };
         let Some(a) = job.attempts.get(attempt).filter(|a| a.out && a.begun.is_none()) else { return };
@@ -853,7 +858,7 @@
 
     /// An engine was heard of. If it could not be reached before, it counts as cold from now.
     fn reached(&mut self, now: Duration, engine: EngineId) {
-        let lack = self.chance() * self.mean_prompt;
+        let lack = self.chance() * *self.mean_prompt;
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         self.fleet.touch(engine);
@@ -893,20 +898,18 @@
 
     // ---- 8. Cold --------------------------------------------------------------------------------
 
-    /// Told to have started, or back from where it could not be reached: it may have restarted long
-    /// before the list says so, and what is sent while it comes up counts against it. Guards against
-    /// a fleet that returns at once; harm: after a mere cut an engine gets its full share late.
+    /// Told to have started, or back from where it could not be reached: it may have restarted long before
+    /// the list says so, and what is sent meanwhile counts. Harm: after a mere cut its share comes late.
     fn is_cold(&self, now: Duration, server: &Server) -> bool {
         server.cold_since(now).is_some_and(|at| now < at.saturating_add(self.settings.cold_time))
     }
 
-    /// What a cold engine may be sent, tokens a second: the share that it can surely do of what warm
-    /// engines of the role bear from this router. Every router does the same with its own part.
+    /// What this router may send a cold engine, tokens a second: its share of what a warm one bears from it.
     fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
         let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
             / self.settings.cold_time.as_secs_f64().max(1e-3);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
-        let least = self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
+        let least = *self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
         share * self.means[server.role as usize].borne.max(least)
     }
 
@@ -947,7 +950,7 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let lack = self.chance() * self.mean_prompt;
+            let lack = self.chance() * *self.mean_prompt;
             let (heard, bucket, bucket_at) = (now, -lack, now);
             let fresh =
                 || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
@@ -986,10 +989,11 @@
         }
         for id in askers {
             let servers = &self.servers;
-            let open = |id: &EngineId| servers.get(id).is_some_and(|s| s.probing);
+            let probing = |id: &EngineId| servers.get(id).is_some_and(|s| s.probing);
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let Some(choice) = job.choice.as_ref().filter(|c| c.step == job.attempts.len()) else { continue };
-            if job.parked.is_some() && !choice.near.iter().chain(&choice.far).any(open) {
+            let far = choice.far.iter().filter(|_| choice.wide);
+            if job.parked.is_some() && !choice.near.iter().chain(far).any(probing) {
                 job.parked = None;
                 self.advance(now, id, out);
             }
@@ -1025,9 +1029,8 @@
     }
 }
 
-/// The curve of the llm-d post. Exception: where it refuses all droppable requests and saturation still
-/// stands that high, what is left of the fleet can't carry the protected ones either; all would come too
-/// late. The same curve, on a part of the saturation, then holds for them.
+/// The curve of the llm-d post. Exception: where it refuses all droppable requests, what is left of the fleet
+/// can't carry the protected ones either. The same curve, on a part of the saturation, then holds for them.
 fn refusal_chance(saturation: f64, droppable: bool) -> f64 {
     let curve = |s: f64| (CURVE_FACTOR * s.powi(CURVE_POWER)).min(1.0);
     match curve(saturation) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         tenants: vec![],
         over_share_worth: 0.05,
         kinds: vec![Role::Read, Role::Write, Role::Both],
+        memory_tokens: vec![],
         writers_read: false,
         ask_for_engines: false,
         reports: ReportSource::Answers,
@@ -68,11 +69,14 @@
     pub router: Router,
     pub now: Duration,
     pub mute: bool,
+    /// The prompt tokens that wait at each engine, as it tells when it is probed.
+    pub waiting: Option<f64>,
 }
 
 impl Host {
     pub fn new(settings: Settings, seed: u64, engines: Vec<Engine>) -> Self {
-        let mut host = Host { router: Router::new(settings, seed), now: ms(100_000), mute: false };
+        let mut host =
+            Host { router: Router::new(settings, seed), now: ms(100_000), mute: false, waiting: None };
         host.list(Listing::Complete, engines);
         host
     }
@@ -84,7 +88,7 @@
         while let Some(action) = out.get(next) {
             next += 1;
             if let (false, &Action::Probe(engine)) = (self.mute, action) {
-                let report = LoadReport::default();
+                let report = LoadReport { waiting_tokens: self.waiting, ..LoadReport::default() };
                 let probed = Event::Probed { engine, outcome: Outcome::Ok, report };
                 self.router.handle(self.now, probed, &mut out);
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -514,6 +514,74 @@
 
 /// Found on nairobi-highlights: a router that refuses all hears no answers, and full engines stay full
 /// in its eyes.
+/// Found on the standing test: one of 300 routers sees ten requests in a minute, and prompts were taken for a third of
+/// their length while the queues before them were seconds long.
+#[test]
+fn a_few_requests_tell_how_long_prompts_are() {
+    for prompt_tokens in [200.0, 1_000.0, 8_000.0] {
+        let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        for id in 0..8 {
+            host.ask(Request { prompt_tokens, ..request(id, 0) });
+            host.tell(Event::ClientGone(RequestId(id)));
+        }
+        let report = LoadReport { queued: Some(3.0), ..LoadReport::default() };
+        host.tell(Event::Probed { engine: EngineId(1), outcome: Outcome::Ok, report });
+        let refusals =
+            (100..150).filter(|&id| refused(&host.ask(Request { prompt_tokens, ..request(id, 1) })));
+        // 24,000 tokens wait where prompts are long.
+        assert_eq!(refusals.count() == 50, prompt_tokens == 8_000.0, "{prompt_tokens}");
+    }
+}
+
+/// Found on the standing test: half of the cells had no writer, and nearly all states moved far, at a price.
+#[test]
+fn of_two_homes_the_one_with_a_writer_in_its_cell_reads_unless_it_bears_more() {
+    for (writer_at, waiting, expected) in [(0, 0.0, 0), (1, 0.0, 1), (0, 600.0, 0), (0, 2_500.0, 1)] {
+        for id in 0..20 {
+            let engines = vec![engine(1, 0, 0), engine(2, 0, 1), engine(3, 1, writer_at)];
+            let mut host = Host::new(settings(Effect::Safe), id, engines);
+            host.report(2 - u64::from(writer_at), 0.0);
+            host.report(1 + u64::from(writer_at), waiting);
+            let taken = sent_to(&host.ask(request(id, 0)));
+            assert_eq!(taken, Some(1 + expected), "writer at {writer_at}, {waiting} waiting there");
+        }
+    }
+}
+
+/// Found on the standing test: a prompt of 40,000 tokens takes seconds to read and stands in no queue meanwhile; at 0.13 of
+/// the memory it counted as 1,700 tokens, and every home that read one seemed idle.
+#[test]
+fn a_reader_at_a_long_prompt_bears_what_is_in_its_memory() {
+    let told = |queued, memory| LoadReport {
+        queued: Some(queued),
+        memory_share: Some(memory),
+        ..LoadReport::default()
+    };
+    for (memory_tokens, busy_is_taken) in [(vec![300_000.0, 900_000.0, 0.0], false), (vec![], true)] {
+        let s = Settings { memory_tokens, ..settings(Effect::Safe) };
+        let mut host = Host::new(s, 1, vec![engine(1, 0, 0), engine(2, 0, 0), engine(3, 1, 0)]);
+        // One reads a long prompt and nothing waits behind it; at the other two short ones wait.
+        for (id, report) in [(1, told(0.0, 0.13)), (2, told(2.0, 0.01))] {
+            host.tell(Event::Probed { engine: EngineId(id), outcome: Outcome::Ok, report });
+        }
+        let taken = sent_to(&host.ask(request(1, 0)));
+        assert_eq!(taken, Some(if busy_is_taken { 1 } else { 2 }));
+    }
+}
+
+/// Seen on the standing test: 6.8 probes a request, half of them of engines that the choice could not fall on.
+#[test]
+fn engines_to_spill_to_are_asked_only_where_the_homes_bear_more_than_the_prompt() {
+    for (waiting, probes) in [(0.0, 2), (900.0, 2), (1_100.0, 4)] {
+        let engines = (1..9).map(|id| engine(id, 0, 0)).chain([engine(9, 1, 0)]).collect();
+        let mut host = Host::new(settings(Effect::Safe), 1, engines);
+        (host.now, host.waiting) = (host.now + ms(1_000), Some(waiting));
+        let out = host.ask(request(1, 0));
+        let asked = out.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+        assert_eq!((asked, sent_to(&out).is_some()), (probes, true), "{waiting}: {out:?}");
+    }
+}
+
 #[test]
 fn a_refused_request_asks_engines_whose_reports_are_old() {
     let mut host = Host::new(settings(Effect::Safe), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
@@ -582,7 +650,7 @@
 fn a_site_whose_list_must_be_asked_for_is_asked_again_after_a_failure() {
     let mut s = settings(Effect::Safe);
     s.ask_for_engines = true;
-    let mut host = Host { router: Router::new(s, 1), now: ms(0), mute: false };
+    let mut host = Host { router: Router::new(s, 1), now: ms(0), mute: false, waiting: None };
     let out = host.list(Listing::Cached, vec![]);
     assert!(out.contains(&Action::WatchEngines(true)));
     let out = host.list(Listing::Failed, vec![]);
