slipreel losses: where requests and work went, from the logs of routers on the platform

Change: the node counts refusals before and after attempts, first events after their aim, streams that broke, work for nothing, attempts in another zone, prompt tokens read, kept and moved out of the cell, and says them every ten seconds and as it ends; 'slipreel losses' adds them up over routers and lives and sorts named endings.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod ground;
 mod load;
 mod logs;
+mod losses;
 mod member;
 mod model;
 mod node;
@@ -42,6 +43,8 @@
     },
     /// Run a router on the platform: started by its variables and its configuration file (`LB_CONFIG`).
     Node,
+    /// Read logs of routers on the platform and say where requests and work were lost.
+    Losses(losses::Args),
     /// Check settings and name every fault.
     Check {
         /// The settings, INI.
@@ -131,6 +134,7 @@
     let outcome = match Cli::parse().command {
         Command::Serve { config, until_input_ends } => serve::run(&config, until_input_ends),
         Command::Node => node::run(),
+        Command::Losses(args) => losses::run(&args),
         Command::Check { file, policy: true } => check_policy(&file),
         Command::Check { file, policy: false } => check(&file),
         Command::Standin(args) => engine::run(&args),
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -32,6 +32,10 @@
     pub(crate) is_unsafe: bool,
     /// When its client gives up waiting for the first event.
     pub(crate) deadline: Duration,
+    /// By when its first event is wanted.
+    pub(crate) wanted: Duration,
+    /// Length of its prompt, tokens.
+    pub(crate) prompt: u64,
     method: String,
     target: String,
     kind: Option<String>,
@@ -49,13 +53,16 @@
 
 impl Call {
     pub(crate) fn new(
-        name: String, client: ConnId, is_unsafe: bool, deadline: Duration, received: Received,
+        name: String, client: ConnId, is_unsafe: bool, [deadline, wanted]: [Duration; 2], prompt: u64,
+        received: Received,
     ) -> Self {
         Call {
             name,
             client,
             is_unsafe,
             deadline,
+            wanted,
+            prompt,
             method: received.method().to_owned(),
             target: received.target().to_owned(),
             kind: received.head.get("content-type").map(str::to_owned),
@@ -68,6 +75,11 @@
         }
     }
 
+    /// The reader whose state its next write takes.
+    pub(crate) fn reader(&self) -> Option<EngineId> {
+        self.attempts.iter().rev().find(|a| a.reads).map(|a| a.engine)
+    }
+
     /// Bytes that it holds.
     pub(crate) fn bytes(&self) -> usize {
         self.body.len()
--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -37,7 +37,10 @@
 
     fn send(&mut self, id: RequestId, engine: EngineId, limit: Option<Duration>, out: &mut Vec<Output>) {
         let now = self.now;
-        let member = self.members.get(engine).map(|m| (m.addr, m.role == Role::Read));
+        let member = self.members.get(engine);
+        let cell = member.map(|m| m.cell);
+        let crosses = member.is_some_and(|m| m.zone != self.profile.settings.zone);
+        let member = member.map(|m| (m.addr, m.role == Role::Read));
         let Some(call) = self.calls.get_mut(&id) else { return };
         let is_unsafe = call.is_unsafe;
         let (addr, reads) = member.unwrap_or((SocketAddr::from(([0, 0, 0, 0], 0)), false));
@@ -49,6 +52,10 @@
             // It has left the list in this very moment.
             return self.ended(id, attempt, Outcome::Moot, 0.0, LoadReport::default());
         }
+        let from =
+            call.reader().filter(|_| !reads).and_then(|reader| self.members.get(reader)).map(|m| m.cell);
+        self.tally.moved_tokens += if from.is_some() && from != cell { call.prompt } else { 0 };
+        self.tally.crossed += u64::from(crosses);
         self.tally.attempts += 1;
         let used_for = Use::Attempt { call: id.0, attempt };
         // Where kept connections break under the next request, it pays for every write to know that it has not run.
@@ -182,6 +189,16 @@
         let Some(a) = call.attempts.get(attempt).filter(|a| a.out) else { return };
         let latency = now.saturating_sub(a.sent);
         call.ended(attempt, outcome);
+        match outcome {
+            Outcome::Read => {
+                self.tally.read_tokens += call.prompt;
+                self.tally.kept_tokens += kept as u64;
+            }
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
+                self.tally.wasted += 1
+            }
+            _ => {}
+        }
         let finished = call.over;
         self.reap.push(id);
         let report = self.allowed(report);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -106,12 +106,16 @@
         let id = RequestId(self.next_call);
         let mut request = ask.request;
         request.id = id;
-        let effect = self.profile.settings.classes.get(request.class.0).map_or(Effect::Unsafe, |c| c.effect);
+        let class = self.profile.settings.classes.get(request.class.0);
+        let effect = class.map_or(Effect::Unsafe, |c| c.effect);
+        let aim = class.map(|c| c.aim + c.aim_per_1000.mul_f64(request.prompt_tokens / 1e3));
+        let wanted = self.now.saturating_add(aim.unwrap_or(Duration::MAX));
         if let Some(client) = self.clients.get_mut(&conn) {
             client.state = State::Serving(Some(id.0));
         }
         let deadline = self.now.saturating_add(request.time_left);
-        let call = Call::new(ask.name.clone(), conn, effect == Effect::Unsafe, deadline, received);
+        let (times, prompt) = ([deadline, wanted], request.prompt_tokens as u64);
+        let call = Call::new(ask.name.clone(), conn, effect == Effect::Unsafe, times, prompt, received);
         self.held_bytes += bytes;
         self.calls.insert(id, call);
         self.names.insert(ask.name, id);
@@ -135,6 +139,7 @@
         self.forget_client(conn);
         let Some(id) = call.filter(|id| self.calls.get(id).is_some_and(|c| !c.over)) else { return };
         self.tally.left += 1;
+        self.tally.fruitless += u64::from(self.calls.get(&id).is_some_and(|c| c.begun.is_none()));
         self.close(id);
         self.tell(Event::ClientGone(id));
         let begun = self.calls.get(&id).and_then(|c| c.attempts[c.begun?].conn);
@@ -232,6 +237,8 @@
         &mut self, id: RequestId, after: Option<Duration>, over_share: bool, out: &mut Vec<Output>,
     ) {
         self.tally.refused += 1;
+        let tried = self.calls.get(&id).is_some_and(|c| !c.attempts.is_empty());
+        *(if tried { &mut self.tally.fruitless } else { &mut self.tally.refused_early }) += 1;
         self.say_why("refused", id, out);
         let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
         let fields: Vec<(&str, &str)> = after.iter().map(|after| ("retry-after", after.as_str())).collect();
@@ -241,6 +248,7 @@
 
     pub(crate) fn fail(&mut self, id: RequestId, out: &mut Vec<Output>) {
         self.tally.failed += 1;
+        self.tally.fruitless += 1;
         self.say_why("failed", id, out);
         self.answer_call(id, 502, &[], "failed; it may have run", out);
     }
@@ -286,6 +294,7 @@
         self.say_why("broke off", id, out);
         self.close(id);
         self.tally.failed += 1;
+        self.tally.broken += 1;
         if self.clients.contains_key(&conn) {
             out.push(Output::Finish(conn));
             self.forget_client(conn);
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -184,6 +184,7 @@
         if call.begun.is_none() {
             self.held_bytes = self.held_bytes.saturating_sub(call.bytes());
             call.has_begun(attempt);
+            self.tally.late += u64::from(now > call.wanted);
             let a = &call.attempts[attempt];
             let (latency, conn) = (now.saturating_sub(a.sent), a.conn);
             self.tell(Event::FirstToken { request: id, attempt, latency });
--- a/crates/platform/src/members.rs
+++ b/crates/platform/src/members.rs
@@ -14,6 +14,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) name: String,
     pub(crate) role: Role,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
     /// When it last was heard of on a connection; zero: never.
     pub(crate) heard: Duration,
 }
@@ -128,12 +130,14 @@
             addr,
             name: entry.name.clone(),
             role,
+            zone: ZoneId(zone as u32),
+            cell: CellId(entry.cell),
             heard: Duration::ZERO,
         });
         if std::mem::replace(&mut member.addr, addr) != addr {
             moved.push(id);
         }
-        member.role = role;
+        (member.role, member.zone, member.cell) = (role, ZoneId(zone as u32), CellId(entry.cell));
         let started = (entry.since_ms > 0)
             .then(|| Duration::from_millis(entry.since_ms).saturating_sub(self.epoch_ahead))
             .filter(|at| !at.is_zero());
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -44,6 +44,24 @@
     pub reports: u64,
     /// Reports that could not be read.
     pub odd_reports: u64,
+    /// Refused before any attempt: by the curve, as hopeless, or with nothing to send to.
+    pub refused_early: u64,
+    /// Failed or refused after attempts, or left by their clients while some were out.
+    pub fruitless: u64,
+    /// First events that came later than the aim of their class.
+    pub late: u64,
+    /// Streams that broke after their first event.
+    pub broken: u64,
+    /// Attempts that were given up, broke or ended as errors: work for nothing.
+    pub wasted: u64,
+    /// Attempts at engines of another zone.
+    pub crossed: u64,
+    /// Prompt tokens of reads that ended well, and how many of these their readers had kept.
+    pub read_tokens: u64,
+    /// See `read_tokens`.
+    pub kept_tokens: u64,
+    /// Prompt tokens whose state was written outside the cell of their reader.
+    pub moved_tokens: u64,
 }
 
 /// Why a timer was set.
@@ -214,6 +232,7 @@
         let said = self.letting_go.is_empty() || self.stopping_for(self.leaves());
         if grace && !self.stopped && self.calls.is_empty() && self.clients.is_empty() && said {
             self.stopped = true;
+            self.log_standing(out);
             out.push(Output::Stopped);
         }
     }
@@ -314,6 +333,10 @@
 
     fn say_standing(&mut self, out: &mut Vec<Output>) {
         self.wheel.set(self.now + room::SAY_STANDING, Alarm::Standing);
+        self.log_standing(out);
+    }
+
+    fn log_standing(&self, out: &mut Vec<Output>) {
         let busy = self.links.values().filter(|l| l.state != LinkState::Idle).count();
         let [clients, links, calls, timers, words] = self.holds();
         out.push(Output::Log(format!(
