--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -44,6 +44,24 @@
     pub reports: u64,
     /// Reports that could not be read.
     pub odd_reports: u64,
+    /// Refused before any attempt: by the curve, as hopeless, or with nothing to send to.
+    pub refused_early: u64,
+    /// Failed or refused after attempts, or left by their clients while some were out.
+    pub fruitless: u64,
+    /// First events that came later than the aim of their class.
+    pub late: u64,
+    /// Streams that broke after their first event.
+    pub broken: u64,
+    /// Attempts that were given up, broke or ended as errors: work for nothing.
+    pub wasted: u64,
+    /// Attempts at engines of another zone.
+    pub crossed: u64,
+    /// Prompt tokens of reads that ended well, and how many of these their readers had kept.
+    pub read_tokens: u64,
+    /// See `read_tokens`.
+    pub kept_tokens: u64,
+    /// Prompt tokens whose state was written outside the cell of their reader.
+    pub moved_tokens: u64,
 }
 
 /// Why a timer was set.
@@ -214,6 +232,7 @@
         let said = self.letting_go.is_empty() || self.stopping_for(self.leaves());
         if grace && !self.stopped && self.calls.is_empty() && self.clients.is_empty() && said {
             self.stopped = true;
+            self.log_standing(out);
             out.push(Output::Stopped);
         }
     }
@@ -314,6 +333,10 @@
 
     fn say_standing(&mut self, out: &mut Vec<Output>) {
         self.wheel.set(self.now + room::SAY_STANDING, Alarm::Standing);
+        self.log_standing(out);
+    }
+
+    fn log_standing(&self, out: &mut Vec<Output>) {
         let busy = self.links.values().filter(|l| l.state != LinkState::Idle).count();
         let [clients, links, calls, timers, words] = self.holds();
         out.push(Output::Log(format!(
@@ -337,7 +360,12 @@
                     out.push(Output::Connect(conn, self.watch.addr));
                 }
                 WatchState::Connecting(..) => self.watch_over("no connection in time", out),
-                WatchState::Open(..) => self.watch_over("nothing was heard of it for too long", out),
+                WatchState::Open(..) => {
+                    // At once: the agent on this machine counts as heard whether a watch stands or not.
+                    self.watch_over("nothing was heard of it for too long", out);
+                    self.watch.again(self.now);
+                    return self.watch_due(out);
+                }
             }
         }
         self.arm_watch();
@@ -363,8 +391,9 @@
         for list in lists {
             self.take_list(list, out);
         }
-        if let Err(why) = fed {
-            self.watch_over(&why, out);
+        match fed {
+            Ok(()) => self.arm_watch(),
+            Err(why) => self.watch_over(&why, out),
         }
     }
 
@@ -485,7 +514,16 @@
 impl Machine for Node {
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        // What is due comes before what has just come in, whatever order the driver found them in.
+        // What a client has sent was there before its idle time was up, or the end of a stop: it has been taken, and
+        // its connection is not to be closed as an idle one under it.
+        if let Input::Data(conn, bytes) = input {
+            if !conn.is_opened() {
+                self.client_data(conn, bytes, out);
+                self.settle(out);
+                return self.run_timers(out);
+            }
+        }
+        // Else what is due comes before what has just come in, whatever order the driver found them in.
         self.run_timers(out);
         match input {
             Input::Accepted(conn, _) => self.accepted(conn, out),
@@ -497,7 +535,7 @@
             Input::Connected(conn) => self.link_connected(conn, out),
             Input::Data(conn, bytes) if self.is_watch(conn) => self.watch_data(bytes, out),
             Input::Data(conn, bytes) if conn.is_opened() => self.link_data(conn, bytes, out),
-            Input::Data(conn, bytes) => self.client_data(conn, bytes, out),
+            Input::Data(..) => {}
             Input::Eof(conn) if self.is_watch(conn) => self.watch_over("it was closed", out),
             Input::Eof(conn) if conn.is_opened() => self.link_eof(conn, out),
             Input::Eof(conn) => self.client_eof(conn, out),
