Node: the list 6 s after it could be told, whatever calls failed; clients that have gone

Seen by reading and by scripts in virtual time: a head or an answer that came byte by byte kept its watch without end; after a failed call the next asked for changes alone; a watch that only lived was never doubted; an older list told twice undid drains; 300 routers that lost discovery came back within 150 ms of each other. A client that closed behind unread bytes of a paused connection was not seen, and its reset made the loop turn without end (driver.rs, ready: HUP with the read masked); a client's close in the same wake-up as an engine's answer came after the write that followed it. An answer that came before the last byte of a write was out counted as that write's.

Change: every stage of a call has an end, back-off from 0.1 s with up to 0.7 s by chance, doubling to 1.9 s; the whole list after a failure, within 1.5 s; an older list undoes nothing. Input::HungUp; accepted connections' events first; early answers are none. Idle clients that make room end in order. Changed tests: constants of back-off and silence; an older whole list after something unreadable counts when told again, not at once; after a broken watch the whole list is asked for (was: changes); an evicted idle client ends in order (was: reset).

--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -56,6 +56,9 @@
     Data(ConnId, &'a [u8]),
     /// The peer sends no more; it may still read.
     Eof(ConnId),
+    /// The peer of a paused connection has closed it, whatever it had sent before and still waits unread. Told once; the
+    /// rest and `Eof` or `Lost` follow once the connection is resumed.
+    HungUp(ConnId),
     /// So many of the bytes given to [`Output::Write`] have left the driver.
     Sent(ConnId, usize),
     /// The connection is over. Nothing follows for it.
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -24,6 +24,8 @@
     pub(crate) phase: Phase,
     pub(crate) paused: bool,
     pub(crate) eof: bool,
+    /// The machine knows that the peer has closed it though it is paused.
+    pub(crate) hung_up: bool,
     /// The write side is to be shut when all is sent.
     pub(crate) shuts: bool,
     /// It is shut.
@@ -51,6 +53,7 @@
             phase,
             paused: false,
             eof: false,
+            hung_up: false,
             shuts: false,
             shut: false,
             interest: EventFlags::empty(),
@@ -104,6 +107,8 @@
             Phase::Open => {
                 if !self.paused && !self.eof {
                     flags |= EventFlags::IN;
+                } else if self.paused && !self.eof && !self.hung_up {
+                    flags |= EventFlags::RDHUP;
                 }
             }
             Phase::Finishing(_) => flags |= EventFlags::IN,
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -348,18 +348,24 @@
             Ok(_) | Err(Errno::INTR) => {}
             Err(why) => return Err(why.into()),
         }
-        for event in events.drain(..) {
-            let (data, flags) = (event.data.u64(), event.flags);
-            if data == WAKE {
-                let mut count = [0; 8];
-                let _ = rustix::io::read(&*self.handle.wake, &mut count);
-                continue;
-            }
-            let (slot, uses) = ((data & u64::from(u32::MAX)) as usize, (data >> 32) as u32);
-            if self.uses.get(slot) == Some(&uses) {
-                self.ready(slot, flags);
+        // What peers that connected to a machine did comes before what those did that it connected to: a client that has
+        // gone is known before an engine's answer has the next attempt for it written.
+        for accepted in [true, false] {
+            for event in events.iter() {
+                let (data, flags) = (event.data.u64(), event.flags);
+                if data == WAKE {
+                    continue;
+                }
+                let (slot, uses) = ((data & u64::from(u32::MAX)) as usize, (data >> 32) as u32);
+                if self.uses.get(slot) == Some(&uses) && self.is_accepted(slot) == accepted {
+                    self.ready(slot, flags);
+                }
             }
         }
+        if events.drain(..).any(|event| event.data.u64() == WAKE) {
+            let mut count = [0; 8];
+            let _ = rustix::io::read(&*self.handle.wake, &mut count);
+        }
         while let Ok(command) = self.commands.try_recv() {
             self.command(command);
         }
@@ -466,6 +472,11 @@
 
     // ---- Readiness -----------------------------------------------------------------------------
 
+    /// Whether a slot holds a connection that a peer has opened.
+    fn is_accepted(&self, slot: usize) -> bool {
+        matches!(&self.slots[slot], Slot::Conn(c) if !c.id.is_opened())
+    }
+
     fn ready(&mut self, slot: usize, flags: EventFlags) {
         match &self.slots[slot] {
             Slot::Listener(_) => self.accept(slot),
@@ -476,9 +487,11 @@
                     if flags.intersects(EventFlags::OUT) {
                         self.flush(slot);
                     }
-                    if flags
-                        .intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP)
-                    {
+                    let ends = EventFlags::HUP | EventFlags::ERR | EventFlags::RDHUP;
+                    if flags.intersects(ends) {
+                        self.hung_up(slot, flags);
+                    }
+                    if flags.intersects(ends | EventFlags::IN) {
                         self.read(slot);
                     }
                 }
@@ -488,6 +501,23 @@
         }
     }
 
+    /// A peer has closed or reset a connection that may be paused. A reset one is read to its end all the same, which its
+    /// socket bounds: the system reports it again and again until then.
+    fn hung_up(&mut self, slot: usize, flags: EventFlags) {
+        let Slot::Conn(conn) = &mut self.slots[slot] else { return };
+        if !conn.paused || conn.phase != Phase::Open || self.nodes[conn.node].frozen {
+            return;
+        }
+        let (node, id) = (conn.node, conn.id);
+        if flags.intersects(EventFlags::HUP | EventFlags::ERR) {
+            conn.paused = false;
+        }
+        if !std::mem::replace(&mut conn.hung_up, true) {
+            self.set_interest(slot);
+            self.give(node, Input::HungUp(id));
+        }
+    }
+
     fn accept(&mut self, slot: usize) {
         for _ in 0..64 {
             let Slot::Listener(listener) = &mut self.slots[slot] else { return };
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -20,7 +20,7 @@
     holds: bool,
     /// How it ended.
     outcome: Option<Outcome>,
-    reads: bool,
+    pub(crate) reads: bool,
 }
 
 /// A request under way.
--- a/crates/platform/src/carry.rs
+++ b/crates/platform/src/carry.rs
@@ -122,9 +122,11 @@
 
     /// Whether one more connection to an engine may be opened: at the bound the one that stands idle longest makes room.
     fn make_room(&mut self, out: &mut Vec<Output>) -> bool {
-        if self.links.len() < self.room.links {
-            return true;
-        }
+        self.links.len() < self.room.links || self.close_oldest_idle(out)
+    }
+
+    /// Closes the connection to an engine that stands idle longest. False if none does.
+    pub(crate) fn close_oldest_idle(&mut self, out: &mut Vec<Output>) -> bool {
         let idle = self.links.values().filter(|l| l.state == State::Idle);
         let Some(oldest) = idle.min_by_key(|l| (l.since, l.conn)).map(|l| l.conn) else { return false };
         self.forget_link(oldest);
@@ -168,11 +170,34 @@
             (State::Idle, _) | (_, Use::Word(_)) => {}
             (_, Use::Probe) => self.probed(link.engine, outcome, LoadReport::default()),
             (_, Use::Attempt { call, attempt }) => {
+                if outcome.proves_not_run() {
+                    self.say_never_ran(RequestId(call), attempt, outcome, (link.progress(), link.since), out);
+                }
                 self.attempt_broke(RequestId(call), attempt, outcome, LoadReport::default(), out);
             }
         }
     }
 
+    /// For the staff: why a write that must not be repeated is taken as never run, and so may go out again. If an effect
+    /// is ever seen twice, this is where to look.
+    pub(crate) fn say_never_ran(
+        &mut self, id: RequestId, attempt: usize, outcome: Outcome, (progress, since): (String, Duration),
+        out: &mut Vec<Output>,
+    ) {
+        let Some(call) = self.calls.get(&id).filter(|c| c.is_unsafe) else { return };
+        if call.attempts.get(attempt).is_none_or(|a| a.reads) || self.stories >= room::STORIES {
+            return;
+        }
+        self.stories += 1;
+        let ago = self.now.saturating_sub(since).as_micros();
+        out.push(Output::Log(format!(
+            "never ran: unsafe {} attempt {attempt} {outcome:?}; {}, {ago} us in this state; {}",
+            call.name,
+            progress,
+            call.story(self.now)
+        )));
+    }
+
     pub(crate) fn close_idle(&mut self, engine: EngineId, out: &mut Vec<Output>) {
         for conn in self.pool.idle(engine) {
             self.forget_link(conn);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -30,7 +30,7 @@
 
     /// Room for one more client is made by closing the one that has said nothing for longest, else the one that stands
     /// idle longest, else a young one that has said nothing yet. False if all are at work.
-    fn evict(&mut self, out: &mut Vec<Output>) -> bool {
+    pub(crate) fn evict(&mut self, out: &mut Vec<Output>) -> bool {
         let old = |c: &&Client| self.unheard.get(&c.conn).is_some_and(|&at| self.now >= at + room::YOUNG);
         let silent =
             |c: &&Client| self.unheard.contains_key(&c.conn) && !matches!(c.state, State::Serving(_));
@@ -42,7 +42,10 @@
         let found = found.or_else(|| oldest(self.clients.values().filter(silent).collect()));
         let Some(conn) = found else { return false };
         self.tally.turned += 1;
-        out.push(Output::Abort(conn));
+        // One that was answered ends in order: a reset would take the answer with it if that is still on its way, and a
+        // request that comes in just now is one that was never read.
+        let silent = self.unheard.contains_key(&conn);
+        out.push(if silent { Output::Abort(conn) } else { Output::Finish(conn) });
         self.forget_client(conn);
         true
     }
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -33,9 +33,16 @@
             self.trust.used(engine, false);
         }
         let mut said = Vec::new();
+        let early = link.holds_back();
         link.feed(bytes, &self.layout, &mut said);
         self.tally.odd_reports += std::mem::take(&mut link.odd_reports);
         self.members.heard(engine, now);
+        // Before its last byte was written nothing can be the answer to a request, but that it is turned away: guards
+        // against a late second answer of the exchange before, taken for a stream or a proof that this one never ran.
+        if early && !matches!(&said[..], [Said::Answer(answer)] if answer.not_run) {
+            self.tally.spoilt += 1;
+            return self.drop_link(conn, Outcome::Moot, out);
+        }
         for said in said {
             self.heard(conn, said, out);
         }
@@ -105,6 +112,11 @@
                 self.stream_over(RequestId(call), attempt, report.unwrap_or_default(), out);
             }
             (Said::Answer(answer), Use::Attempt { call, attempt }) => {
+                if let Some(link) = self.links.get(&conn).filter(|_| answer.not_run) {
+                    let (how, outcome) =
+                        ((link.progress(), link.since), Outcome::Full { no_state: answer.status == 410 });
+                    self.say_never_ran(RequestId(call), attempt, outcome, how, out);
+                }
                 self.exchange_over(conn, out);
                 self.answered(RequestId(call), attempt, &answer, out);
             }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -172,6 +172,17 @@
         }
     }
 
+    /// How far the request has come, for the staff.
+    pub(crate) fn progress(&self) -> String {
+        let kept = if self.on_trust { "kept connection" } else { "new or heard connection" };
+        match self.state {
+            State::Connecting => "its connection never stood".to_owned(),
+            _ if self.holds_back() => format!("its last byte was held back here, {kept}"),
+            _ if self.unsent > 0 => format!("{} bytes were not handed to the system, {kept}", self.unsent),
+            _ => format!("handed over whole, {kept}"),
+        }
+    }
+
     /// Takes bytes; appends what they said. Nothing more is to be fed after `Spoilt`.
     pub(crate) fn feed(&mut self, bytes: &[u8], layout: &Layout, said: &mut Vec<Said>) {
         self.decoder.feed(bytes);
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -24,6 +24,8 @@
     pub(crate) index: u64,
     /// All engines, not changes alone.
     pub(crate) whole: bool,
+    /// It is of an earlier version than what is held, and was told again when asked for.
+    pub(crate) older: bool,
     pub(crate) entries: Vec<Listed>,
 }
 
@@ -89,7 +91,7 @@
         .map(|(i, entry)| listed(entry).map_err(|why| format!("endpoints.{i}.{why}")))
         .collect::<Result<_, _>>()?;
     let whole = field(value, "snapshot")?.as_bool().ok_or("snapshot: expected true or false")?;
-    Ok(List { index: number(value, "index")?, whole, entries })
+    Ok(List { index: number(value, "index")?, whole, older: false, entries })
 }
 
 /// Takes the whole objects at the front of what a watch has said so far, however they are spread over lines, and leaves
--- a/crates/platform/src/members.rs
+++ b/crates/platform/src/members.rs
@@ -18,6 +18,8 @@
     pub(crate) cell: CellId,
     /// When it last was heard of on a connection; zero: never.
     pub(crate) heard: Duration,
+    state: EngineState,
+    since_ms: u64,
 }
 
 /// An engine's id: of its name alone, so that it is the same at every router.
@@ -80,8 +82,21 @@
         }
     }
 
+    /// Of a list that is older than what is held: whether this entry may still count. One that has left since, or wants
+    /// nothing new, does not come back by it; a restart that the held one did not know does.
+    fn outlives(&self, entry: &Listed) -> bool {
+        let held = self.by_id.get(&engine_id(&entry.name));
+        held.is_some_and(|m| m.state == EngineState::Ready || entry.since_ms > m.since_ms)
+    }
+
     /// Takes a list; `cached` if it is the one that the node was started with.
-    pub(crate) fn take(&mut self, list: List, cached: bool) -> Change {
+    ///
+    /// One that is older than what is held is no whole list any more: who is absent there may have come since.
+    pub(crate) fn take(&mut self, mut list: List, cached: bool) -> Change {
+        if list.older {
+            list.whole = false;
+            list.entries.retain(|entry| self.outlives(entry));
+        }
         let listing = match (list.whole, cached) {
             (_, true) => Listing::Cached,
             (true, _) => Listing::Complete,
@@ -133,7 +148,10 @@
             zone: ZoneId(zone as u32),
             cell: CellId(entry.cell),
             heard: Duration::ZERO,
+            state: entry.state,
+            since_ms: entry.since_ms,
         });
+        (member.state, member.since_ms) = (entry.state, entry.since_ms);
         if std::mem::replace(&mut member.addr, addr) != addr {
             moved.push(id);
         }
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -111,13 +111,13 @@
     pub(crate) held_bytes: usize,
     next_conn: u64,
     pub(crate) next_call: u64,
-    /// Draws for what is no decision: when a watch is opened anew.
-    chance: u64,
     pub(crate) ready: bool,
     pub(crate) stopping: Option<Duration>,
     stopped: bool,
     logged: Option<Duration>,
     unlogged: u64,
+    /// Stories of writes that never ran since it last said how things stand.
+    pub(crate) stories: u32,
     pub(crate) tally: Tally,
 }
 
@@ -131,7 +131,7 @@
             layout: Layout::of(&profile),
             router: Router::new(profile.settings.clone(), seed),
             members: Members::new(&profile, now, wall),
-            watch: Watch::new(discovery, now),
+            watch: Watch::new(discovery, now, seed),
             clients: HashMap::new(),
             client_alarms: Due::default(),
             unheard: HashMap::new(),
@@ -149,12 +149,12 @@
             held_bytes: 0,
             next_conn: 0,
             next_call: 0,
-            chance: seed | 1,
             ready: false,
             stopping: None,
             stopped: false,
             logged: None,
             unlogged: 0,
+            stories: 0,
             tally: Tally::default(),
             profile,
         };
@@ -333,6 +333,7 @@
 
     fn say_standing(&mut self, out: &mut Vec<Output>) {
         self.wheel.set(self.now + room::SAY_STANDING, Alarm::Standing);
+        self.stories = 0;
         self.log_standing(out);
     }
 
@@ -359,32 +360,41 @@
                     self.watch.state = WatchState::Connecting(conn, self.now);
                     out.push(Output::Connect(conn, self.watch.addr));
                 }
-                WatchState::Connecting(..) => self.watch_over("no connection in time", out),
-                WatchState::Open(..) => {
-                    // At once: the agent on this machine counts as heard whether a watch stands or not.
-                    self.watch_over("nothing was heard of it for too long", out);
-                    self.watch.again(self.now);
-                    return self.watch_due(out);
+                WatchState::Connecting(..) | WatchState::Open(..) => {
+                    let (why, at_once) = self.watch.overdue(self.now);
+                    self.watch_failed(why, at_once, out);
+                    if at_once {
+                        return self.watch_due(out);
+                    }
                 }
             }
         }
         self.arm_watch();
     }
 
-    /// The watch is given up and opened anew after a while.
-    fn watch_over(&mut self, why: &str, out: &mut Vec<Output>) {
+    /// The watch is given up and opened anew, after a while or at once.
+    fn watch_failed(&mut self, why: &str, at_once: bool, out: &mut Vec<Output>) {
         if let Some(conn) = self.watch.conn() {
             out.push(Output::Abort(conn));
         }
         self.note(|| format!("the watch of the list ends: {why}"), out);
-        self.chance ^= self.chance << 13;
-        self.chance ^= self.chance >> 7;
-        self.chance ^= self.chance << 17;
-        let jitter = (self.chance >> 11) as f64 / (1u64 << 53) as f64;
-        self.watch.again(self.now + room::WATCH_AGAIN.mul_f64(1.0 + jitter));
+        self.watch.failed(self.now, at_once);
         self.arm_watch();
     }
 
+    /// Its connection is over. Without a descriptor for it, clients that stand idle and engines' idle connections make
+    /// room for the next: the list comes before them.
+    fn watch_lost(&mut self, why: Loss, out: &mut Vec<Output>) {
+        if why == Loss::Exhausted && !self.evict(out) {
+            self.close_oldest_idle(out);
+        }
+        self.watch_failed(
+            if why == Loss::Exhausted { "no descriptor is left" } else { "its connection broke" },
+            false,
+            out,
+        );
+    }
+
     fn watch_data(&mut self, bytes: &[u8], out: &mut Vec<Output>) {
         let mut lists = Vec::new();
         let fed = self.watch.feed(self.now, bytes, &mut lists);
@@ -393,7 +403,7 @@
         }
         match fed {
             Ok(()) => self.arm_watch(),
-            Err(why) => self.watch_over(&why, out),
+            Err(why) => self.watch_failed(&why, false, out),
         }
     }
 
@@ -404,11 +414,12 @@
             self.note(|| line, out);
         }
         self.tell(change.event);
-        // What has not left for an engine that drains or is gone goes elsewhere.
+        // What has not left for an engine that drains or is gone goes elsewhere, also if only its last byte has not.
         let mut unsent: Vec<ConnId> = self
             .links
             .values()
-            .filter(|l| l.state == LinkState::Connecting && matches!(l.used_for, Use::Attempt { .. }))
+            .filter(|l| l.state == LinkState::Connecting || l.holds_back())
+            .filter(|l| matches!(l.used_for, Use::Attempt { .. }))
             .filter(|l| change.closed.contains(&l.engine) || change.moved.contains(&l.engine))
             .map(|l| l.conn)
             .collect();
@@ -536,12 +547,15 @@
             Input::Data(conn, bytes) if self.is_watch(conn) => self.watch_data(bytes, out),
             Input::Data(conn, bytes) if conn.is_opened() => self.link_data(conn, bytes, out),
             Input::Data(..) => {}
-            Input::Eof(conn) if self.is_watch(conn) => self.watch_over("it was closed", out),
+            Input::Eof(conn) if self.is_watch(conn) => self.watch_failed("it was closed", false, out),
             Input::Eof(conn) if conn.is_opened() => self.link_eof(conn, out),
+            // Half-closed counts as closed: the protocol knows no client that asks and then only listens.
             Input::Eof(conn) => self.client_eof(conn, out),
+            Input::HungUp(conn) if !conn.is_opened() => self.client_eof(conn, out),
+            Input::HungUp(_) => {}
             Input::Sent(conn, n) if conn.is_opened() => self.link_sent(conn, n),
             Input::Sent(conn, n) => self.client_sent(conn, n, out),
-            Input::Lost(conn, _) if self.is_watch(conn) => self.watch_over("its connection broke", out),
+            Input::Lost(conn, why) if self.is_watch(conn) => self.watch_lost(why, out),
             Input::Lost(conn, why) if conn.is_opened() => self.link_lost(conn, why, out),
             Input::Lost(conn, _) => self.client_gone(conn, out),
             Input::Wake | Input::Datagram(..) => {}
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -60,15 +60,28 @@
 /// An unsafe request goes on an idle connection only if it was used within this: the engine may have closed an older
 /// one in this moment, and bytes written to it would count as run.
 pub(crate) const SURE_IDLE: Duration = ms(4_000);
-/// A watch says something every 2 s; silent for so long it hangs: two of these are missing. What it missed counts as told
-/// 6 s after it fell silent, and a new watch has to stand and to have brought it by then.
-pub(crate) const WATCH_SILENT: Duration = ms(4_300);
-/// An object of which only a part has come for so long is never whole: what follows would be taken for the rest of it.
+/// From when discovery has a change and can be reached, it counts as told after this, whatever calls failed before. From
+/// the protocol.
+#[cfg(test)]
+pub(crate) const TOLD: Duration = ms(6_000);
+/// A watch says something every 2 s; silent for so long it hangs.
+pub(crate) const WATCH_SILENT: Duration = ms(3_700);
+/// Part of that by which each call may be less patient: hundreds of routers that lost discovery in one moment don't all
+/// come back in one.
+pub(crate) const WATCH_SILENT_SPREAD: f64 = 0.2;
+/// The list that was asked for has to come within this after the head of the answer.
+pub(crate) const WATCH_FIRST: Duration = ms(1_500);
+/// A head or an object of which only a part has come for so long is never whole: what follows would be taken for its rest.
 pub(crate) const WATCH_PART: Duration = ms(1_500);
 /// Time in which the watch's connection has to stand.
 pub(crate) const WATCH_CONNECT: Duration = ms(1_000);
-/// Least wait before a watch is opened anew; up to twice that by chance, so that routers don't come together.
-pub(crate) const WATCH_AGAIN: Duration = ms(150);
+/// Least wait before a watch is opened anew after a failure.
+pub(crate) const WATCH_AGAIN: Duration = ms(100);
+/// Up to so much more by chance after a first failure, so that hundreds of routers don't come together; twice that after
+/// each further one.
+pub(crate) const WATCH_SPREAD: Duration = ms(700);
+/// What is added by chance grows to this and no further.
+pub(crate) const WATCH_SPREAD_MOST: Duration = ms(1_900);
 /// After it was told to stop, a node goes on taking requests for so long: who comes still has to be answered. From the
 /// protocol.
 pub(crate) const STOP_GRACE: Duration = ms(700);
@@ -89,6 +102,8 @@
 pub(crate) const REST: Duration = ms(8);
 /// Least time between two lines for the staff on peers' misdeeds.
 pub(crate) const LOG_STEP: Duration = ms(500);
+/// Lines on unsafe writes that never ran, between two that say how things stand.
+pub(crate) const STORIES: u32 = 200;
 /// Between two lines that say how things stand.
 pub(crate) const SAY_STANDING: Duration = ms(10_000);
 
--- /dev/null
+++ b/crates/platform/src/watch/tests.rs
@@ -0,0 +1,199 @@
+//! What a watch says is taken whole, and a call that fails is followed by another in time.
+
+use super::*;
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn line(index: u64, whole: bool) -> String {
+    format!("{{\"index\":{index},\"snapshot\":{whole},\"endpoints\":[]}}\n")
+}
+
+fn open(holds: u64) -> Watch {
+    let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, 7);
+    watch.holds(holds);
+    let asked = watch.ask(ConnId::opened(1), Duration::ZERO);
+    assert!(String::from_utf8_lossy(&asked).contains(&format!("after={holds} ")));
+    watch.feed(Duration::ZERO, HEAD, &mut Vec::new()).unwrap();
+    watch
+}
+
+#[test]
+fn lists_come_in_pieces_of_any_size_and_empty_lines_say_that_it_lives() {
+    let text = format!("\n{}\n{}", line(42, true), line(43, false));
+    let bytes: Vec<u8> = text.bytes().flat_map(|b| http::chunk(&[b])).collect();
+    let (mut watch, mut out) = (open(41), Vec::new());
+    for b in &bytes {
+        watch.feed(Duration::from_secs(3), &[*b], &mut out).unwrap();
+    }
+    assert_eq!(out.iter().map(|l| (l.index, l.whole)).collect::<Vec<_>>(), [(42, true), (43, false)]);
+    assert_eq!(watch.due(), Duration::from_secs(3) + watch.patience);
+    let least = room::WATCH_SILENT.mul_f64(1.0 - room::WATCH_SILENT_SPREAD);
+    assert!((least..=room::WATCH_SILENT).contains(&watch.patience), "{:?}", watch.patience);
+}
+
+#[test]
+fn an_older_or_unreadable_list_is_not_taken_and_the_whole_is_asked_for() {
+    for text in [line(40, true), "{\"index\"]".to_owned() + "\n", line(39, false)] {
+        let (mut watch, mut out) = (open(41), Vec::new());
+        assert!(watch.feed(Duration::ZERO, &http::chunk(text.as_bytes()), &mut out).is_err());
+        assert!(out.is_empty());
+        watch.again(Duration::ZERO);
+        let asked = String::from_utf8(watch.ask(ConnId::opened(2), Duration::ZERO)).unwrap();
+        assert!(asked.contains("after=0 "), "{asked}");
+        watch.feed(Duration::ZERO, HEAD, &mut out).unwrap();
+        let asked_for = http::chunk(line(7, true).as_bytes());
+        let taken = watch.feed(Duration::ZERO, &asked_for, &mut out);
+        if text.starts_with("{\"index\"]") {
+            // Nothing said before that discovery had gone back: one that lags behind must not undo what is held. Told
+            // again, it has begun anew.
+            assert!(taken.is_err() && out.is_empty(), "{text}");
+            watch.failed(Duration::ZERO, false);
+            watch.ask(ConnId::opened(3), Duration::ZERO);
+            watch.feed(Duration::ZERO, HEAD, &mut out).unwrap();
+            watch.feed(Duration::ZERO, &asked_for, &mut out).unwrap();
+        } else {
+            taken.unwrap();
+        }
+        assert_eq!(out.len(), 1, "a whole list that was asked for counts");
+    }
+}
+
+#[test]
+fn lists_may_run_over_several_lines_and_several_may_come_at_once() {
+    let pretty = |index| {
+        let value: serde_json::Value = serde_json::from_str(&line(index, false)).unwrap();
+        serde_json::to_string_pretty(&value).unwrap()
+    };
+    let text = format!("{}\n\n{}{}\n\n", pretty(42), pretty(43), line(44, false));
+    for size in [1, 7, 50, text.len()] {
+        let (mut watch, mut out) = (open(41), Vec::new());
+        for piece in text.as_bytes().chunks(size) {
+            watch.feed(Duration::ZERO, &http::chunk(piece), &mut out).unwrap();
+        }
+        assert_eq!(out.iter().map(|l| l.index).collect::<Vec<_>>(), [42, 43, 44], "pieces of {size}");
+        assert!(watch.said.is_empty(), "nothing is kept of what was taken");
+    }
+}
+
+#[test]
+fn what_came_whole_before_the_watch_broke_counts() {
+    for end in ["0\r\n\r\n", "zz\r\n"] {
+        let (mut watch, mut out) = (open(41), Vec::new());
+        let bytes = [http::chunk(line(42, false).as_bytes()), end.into()].concat();
+        assert!(watch.feed(Duration::ZERO, &bytes, &mut out).is_err());
+        assert_eq!(out.len(), 1, "{end:?}");
+    }
+}
+
+#[test]
+fn an_object_without_end_is_no_list() {
+    let (mut watch, mut out) = (open(41), Vec::new());
+    let endless = http::chunk(format!("[\"{}\",\n", "x".repeat(60_000)).as_bytes());
+    let fed = (0..200).map(|_| watch.feed(Duration::ZERO, &endless, &mut out)).find(Result::is_err);
+    assert!(fed.is_some() && out.is_empty() && watch.said.len() < 2 * room::LIST);
+}
+
+#[test]
+fn half_a_line_is_dropped_with_its_connection() {
+    let (mut watch, mut out) = (open(41), Vec::new());
+    watch.feed(Duration::ZERO, &http::chunk(b"{\"index\":42,"), &mut out).unwrap();
+    watch.again(Duration::ZERO);
+    let asked = String::from_utf8(watch.ask(ConnId::opened(2), Duration::ZERO)).unwrap();
+    assert!(asked.contains("after=41 "));
+    watch.feed(Duration::ZERO, HEAD, &mut out).unwrap();
+    watch.feed(Duration::ZERO, &http::chunk(line(42, false).as_bytes()), &mut out).unwrap();
+    assert_eq!(out.len(), 1);
+}
+
+/// The arithmetic of the protocol's 6 s: whatever a call came to, it ends, the longest back-off with all its jitter passes,
+/// a connection comes up as late as it may, and the list still comes in time.
+#[test]
+fn whatever_a_call_came_to_the_longest_gap_to_the_next_answer_stays_inside_the_time_told() {
+    let answer = Duration::from_millis(300);
+    let next = room::WATCH_CONNECT + answer;
+    let longest = (1..40).map(back_off).max().unwrap();
+    assert_eq!(longest, room::WATCH_AGAIN + room::WATCH_SPREAD_MOST);
+    for stage in [Duration::ZERO, room::WATCH_CONNECT, room::WATCH_PART, room::WATCH_FIRST] {
+        assert!(stage + longest + next < room::TOLD - Duration::from_secs(1), "{stage:?}");
+    }
+    // A silent one is followed at once, also if that one's connection never comes up.
+    assert!(room::WATCH_SILENT + next < room::TOLD);
+    assert!(room::WATCH_SILENT + room::WATCH_CONNECT + back_off(1) + answer < room::TOLD);
+    // The least patience is longer than one line that is due every 2 s and late by 0.9 s.
+    assert!(room::WATCH_SILENT.mul_f64(1.0 - room::WATCH_SILENT_SPREAD) > Duration::from_millis(2_900));
+}
+
+#[test]
+fn each_failure_in_a_row_doubles_the_back_off_to_its_bound_and_news_ends_it() {
+    // The longest of many draws comes near the bound, the shortest near the least.
+    let mut waits = [(Duration::MAX, Duration::ZERO); 5];
+    for seed in 1..400 {
+        let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, seed * 7_919);
+        for (least, most) in &mut waits {
+            watch.failed(Duration::ZERO, false);
+            (*least, *most) = (watch.due().min(*least), watch.due().max(*most));
+            watch.ask(ConnId::opened(1), Duration::ZERO);
+        }
+    }
+    for (n, (least, most)) in waits.iter().enumerate() {
+        let bound = back_off(n as u32 + 1);
+        assert!(*least >= room::WATCH_AGAIN && *least < room::WATCH_AGAIN + bound / 10, "{waits:?}");
+        assert!(*most <= bound && *most > bound.mul_f64(0.9), "{waits:?}");
+    }
+    assert_eq!(back_off(2) - room::WATCH_AGAIN, room::WATCH_SPREAD * 2);
+    let mut watch = open(41);
+    (0..4).for_each(|_| watch.failed(Duration::ZERO, false));
+    watch.ask(ConnId::opened(1), Duration::ZERO);
+    watch.feed(Duration::ZERO, HEAD, &mut Vec::new()).unwrap();
+    watch.feed(Duration::ZERO, &http::chunk(line(50, true).as_bytes()), &mut Vec::new()).unwrap();
+    watch.failed(Duration::ZERO, false);
+    assert!(watch.due() <= back_off(1));
+}
+
+/// Guards against an answer that keeps its connection alive byte by byte: a head of which one came a second was waited for
+/// without end.
+#[test]
+fn a_head_or_an_object_that_drips_is_given_up_though_something_comes_all_the_time() {
+    let object = http::chunk(line(42, true).as_bytes());
+    let whole = [HEAD, &object].concat();
+    for (from, what) in [(0, "head"), (HEAD.len(), "object"), (HEAD.len() + 1, "object that has begun")] {
+        let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, 7);
+        watch.ask(ConnId::opened(1), Duration::ZERO);
+        watch.feed(Duration::ZERO, &whole[..from], &mut Vec::new()).unwrap();
+        let mut now = Duration::ZERO;
+        for b in &whole[from..] {
+            now += Duration::from_millis(400);
+            if watch.due() <= now {
+                break;
+            }
+            watch.feed(now, &[*b], &mut Vec::new()).unwrap();
+        }
+        assert!(
+            watch.due() <= now && now <= room::WATCH_PART + Duration::from_millis(800),
+            "{what}: {now:?}"
+        );
+        assert!(!watch.overdue(now).1, "{what}");
+    }
+}
+
+#[test]
+fn after_a_failed_call_the_list_itself_is_asked_for_and_signs_of_life_alone_dont_do() {
+    let mut watch = open(41);
+    watch.failed(Duration::ZERO, false);
+    let asked = String::from_utf8(watch.ask(ConnId::opened(2), Duration::ZERO)).unwrap();
+    assert!(asked.contains("after=0 "), "what the failed one had missed is in no list of changes: {asked}");
+    watch.feed(Duration::ZERO, HEAD, &mut Vec::new()).unwrap();
+    let mut now = Duration::ZERO;
+    while watch.due() > now {
+        now += Duration::from_millis(100);
+        watch.feed(now, &http::chunk(b"\n"), &mut Vec::new()).unwrap();
+        assert!(now < Duration::from_secs(2));
+    }
+    assert_eq!(now, room::WATCH_FIRST);
+    // One that has told its list may go on without news for as long as it likes.
+    watch.failed(now, false);
+    watch.ask(ConnId::opened(3), now);
+    watch.feed(now, HEAD, &mut Vec::new()).unwrap();
+    watch.feed(now, &http::chunk(line(41, true).as_bytes()), &mut Vec::new()).unwrap();
+    assert!(watch.due() > now + Duration::from_secs(3));
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A node fed by hand: one reader, two writers, clients and discovery played by the test.
 #![allow(dead_code)]
 
+pub mod world;
+
 use slipreel_machine::{ConnId, Door, Input, Loss, Machine, Output};
 use slipreel_platform::{Config, Node};
 use std::time::Duration;
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -359,7 +359,12 @@
                 self.stopped = true;
                 out.push(Output::Stopped);
             }
-            Input::Accepted(..) | Input::Sent(..) | Input::Wake | Input::Datagram(..) | Input::Stop => {}
+            Input::Accepted(..)
+            | Input::Sent(..)
+            | Input::HungUp(_)
+            | Input::Wake
+            | Input::Datagram(..)
+            | Input::Stop => {}
         }
         if self.stopped {
             return;
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod policy;
+pub mod terms;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- /dev/null
+++ b/crates/rulecheck/src/terms.rs
@@ -0,0 +1,337 @@
+//! Judges the terms of the acceptance on the platform from traffic, and from what discovery had and when.
+//!
+//! Stand-ins for engines, clients and discovery append [`Fact`]s; [`judge`] reads them afterwards. No router is asked.
+//! The terms go beyond the five rules: how late news of the list may be whatever calls failed, how late an attempt may be
+//! for a client that has gone, how much a cold engine may get from all routers together, and how soon routers are back.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// What was seen.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// Discovery has it from now on that an engine wants nothing new (`true`), or takes work.
+    Has {
+        /// The engine.
+        engine: String,
+        /// It drains or is gone.
+        closed: bool,
+    },
+    /// Discovery can be reached from now on and would tell what it has, or not.
+    Reachable(bool),
+    /// A router has asked discovery for the list.
+    Asked {
+        /// Which.
+        router: String,
+    },
+    /// The last byte of an attempt has come to an engine, whatever it did with it.
+    Begun {
+        /// The engine.
+        engine: String,
+        /// The request, by the id that its client gave it.
+        request: String,
+        /// Its work, in requests of mean work.
+        work: f64,
+    },
+    /// The client of a request has closed or reset its connection.
+    Gone {
+        /// The request.
+        request: String,
+    },
+    /// An engine has started, cold.
+    Started {
+        /// The engine.
+        engine: String,
+    },
+    /// A router's process was started.
+    Launched {
+        /// Which.
+        router: String,
+    },
+    /// It says that it is ready.
+    Ready {
+        /// Which.
+        router: String,
+    },
+}
+
+/// What was seen and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fact {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub seen: Seen,
+}
+
+/// What a cold engine may get, as the settings tell it and a warm engine of its role is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdBudget {
+    /// The time over which it is counted.
+    pub window: Duration,
+    /// So many times of what it can do falls it.
+    pub multiple: f64,
+    /// The part of its work that it can do as it starts; it grows evenly to all of it.
+    pub from: f64,
+    /// When it can do all.
+    pub warm_after: Duration,
+    /// What a warm engine can do, requests of mean work a second.
+    pub warm: f64,
+}
+
+impl ColdBudget {
+    /// The budget N of the window that ends so long after the start, requests of mean work.
+    pub fn at(&self, age: Duration) -> f64 {
+        let part = (age.as_secs_f64() / self.warm_after.as_secs_f64().max(1e-9)).min(1.0);
+        let share = self.from + (1.0 - self.from) * part;
+        self.multiple * share * self.warm * self.window.as_secs_f64()
+    }
+
+    /// What chance may add to a budget of `n`.
+    pub fn slack(n: f64) -> f64 {
+        2.0 * n.sqrt() + 2.0
+    }
+}
+
+/// The figures of the terms.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// A change counts as told so long after discovery had it and could be reached.
+    pub told: Duration,
+    /// Work may come to a closed engine so long after that.
+    pub drain_grace: Duration,
+    /// An attempt may begin so long after its client has gone.
+    pub gone: Duration,
+    /// A started router is ready within this.
+    pub ready: Duration,
+    /// The part of them of which that has to hold.
+    pub ready_part: f64,
+    /// What a cold engine may get; `None`: not judged.
+    pub cold: Option<ColdBudget>,
+    /// What the wire and the clocks add to each time.
+    pub wire: Duration,
+}
+
+impl Default for Terms {
+    /// The terms as they were set, without a cold budget, which is the deployment's.
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Terms {
+            told: ms(6_000),
+            drain_grace: ms(250),
+            gone: ms(100),
+            ready: ms(10_000),
+            ready_part: 0.9,
+            cold: None,
+            wire: ms(5),
+        }
+    }
+}
+
+/// Which term was broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Term {
+    /// What discovery has is obeyed in time, whatever calls failed.
+    Told,
+    /// Discovery is asked in time once it can be reached again.
+    Asked,
+    /// Nothing is sent on for a client that has gone.
+    Gone,
+    /// No cold engine gets more than its budget and chance.
+    Cold,
+    /// Started routers are ready in time.
+    Ready,
+}
+
+impl fmt::Display for Term {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Term::Told => "the list obeyed in time",
+            Term::Asked => "discovery asked in time",
+            Term::Gone => "nothing for who has gone",
+            Term::Cold => "no cold engine over its budget",
+            Term::Ready => "ready in time",
+        })
+    }
+}
+
+/// One break of a term.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Break {
+    /// Which term.
+    pub term: Term,
+    /// When.
+    pub at: Duration,
+    /// What was seen.
+    pub what: String,
+}
+
+/// Judges the facts of one run, which lasted until `end`. They need not be in order.
+pub fn judge(facts: &[Fact], terms: &Terms, end: Duration) -> Vec<Break> {
+    let mut facts: Vec<&Fact> = facts.iter().collect();
+    facts.sort_by_key(|f| f.at);
+    let mut breaks = Vec::new();
+    told(&facts, terms, &mut breaks);
+    asked(&facts, terms, end, &mut breaks);
+    gone(&facts, terms, &mut breaks);
+    cold(&facts, terms, &mut breaks);
+    ready(&facts, terms, end, &mut breaks);
+    breaks.sort_by_key(|b| (b.at, b.term));
+    breaks
+}
+
+/// From each time at which discovery has something, when it could first be reached.
+fn reachable_from(facts: &[&Fact], since: Duration) -> Option<Duration> {
+    let mut up = true;
+    for f in facts {
+        if let Seen::Reachable(now) = f.seen {
+            if f.at > since {
+                break;
+            }
+            up = now;
+        }
+    }
+    let next = facts.iter().find(|f| f.at > since && f.seen == Seen::Reachable(true));
+    if up {
+        Some(since)
+    } else {
+        next.map(|f| f.at)
+    }
+}
+
+fn told(facts: &[&Fact], terms: &Terms, breaks: &mut Vec<Break>) {
+    let mut closed: BTreeMap<&str, Option<Duration>> = BTreeMap::new();
+    for f in facts {
+        match &f.seen {
+            Seen::Has { engine, closed: true } => {
+                closed.insert(engine, reachable_from(facts, f.at));
+            }
+            Seen::Has { engine, closed: false } => {
+                closed.remove(engine.as_str());
+            }
+            Seen::Begun { engine, request, .. } => {
+                let Some(Some(from)) = closed.get(engine.as_str()) else { continue };
+                if f.at > *from + terms.told + terms.drain_grace + terms.wire {
+                    let late = (f.at - *from).as_millis();
+                    let what = format!(
+                        "{request} came to {engine} {late} ms after discovery could tell that it is closed"
+                    );
+                    breaks.push(Break { term: Term::Told, at: f.at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn asked(facts: &[&Fact], terms: &Terms, end: Duration, breaks: &mut Vec<Break>) {
+    // Who has asked once is there; who is started later counts from then.
+    let mut routers: BTreeMap<&str, Duration> = BTreeMap::new();
+    for f in facts {
+        match &f.seen {
+            Seen::Launched { router } => drop(routers.insert(router, f.at)),
+            Seen::Asked { router } => drop(routers.entry(router).or_insert(f.at)),
+            _ => {}
+        }
+    }
+    let mut up = true;
+    for f in facts {
+        let Seen::Reachable(now) = f.seen else { continue };
+        if now && !up {
+            for (&router, &since) in &routers {
+                let from = f.at.max(since);
+                let asks =
+                    |g: &&&Fact| matches!(&g.seen, Seen::Asked { router: r } if r == router) && g.at >= from;
+                let until = from + terms.told + terms.wire;
+                let first = facts.iter().find(asks).map(|g| g.at);
+                if first.unwrap_or(end) > until {
+                    let what =
+                        format!("{router} did not ask discovery within {:?} of its return", terms.told);
+                    breaks.push(Break { term: Term::Asked, at: until, what });
+                }
+            }
+        }
+        up = now;
+    }
+}
+
+fn gone(facts: &[&Fact], terms: &Terms, breaks: &mut Vec<Break>) {
+    let mut left: BTreeMap<&str, Duration> = BTreeMap::new();
+    for f in facts {
+        match &f.seen {
+            Seen::Gone { request } => {
+                left.entry(request).or_insert(f.at);
+            }
+            Seen::Begun { engine, request, .. } => {
+                let late = left.get(request.as_str()).map(|&at| f.at - at);
+                if let Some(late) = late.filter(|&late| late > terms.gone + terms.wire) {
+                    let what = format!(
+                        "{request} came to {engine} {} ms after its client had gone",
+                        late.as_millis()
+                    );
+                    breaks.push(Break { term: Term::Gone, at: f.at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A start of an engine, and what came to it since, in the last window.
+struct Start {
+    at: Duration,
+    sent: Vec<(Duration, f64)>,
+    fell: bool,
+}
+
+/// The first window of each start that held more than its budget and chance.
+fn cold(facts: &[&Fact], terms: &Terms, breaks: &mut Vec<Break>) {
+    let Some(budget) = terms.cold else { return };
+    let mut starts: BTreeMap<&str, Start> = BTreeMap::new();
+    for f in facts {
+        match &f.seen {
+            Seen::Started { engine } => {
+                starts.insert(engine, Start { at: f.at, sent: Vec::new(), fell: false });
+            }
+            Seen::Begun { engine, work, .. } => {
+                let Some(start) = starts.get_mut(engine.as_str()) else { continue };
+                let age = f.at - start.at;
+                if start.fell || age > budget.warm_after {
+                    continue;
+                }
+                start.sent.push((f.at, *work));
+                start.sent.retain(|(at, _)| f.at < *at + budget.window);
+                let (sum, n) = (start.sent.iter().map(|(_, work)| work).sum::<f64>(), budget.at(age));
+                if sum > n + ColdBudget::slack(n) {
+                    start.fell = true;
+                    let window = budget.window;
+                    let what =
+                        format!("{engine} got {sum:.1} of {n:.1} within {window:?}, {age:?} after its start");
+                    breaks.push(Break { term: Term::Cold, at: f.at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn ready(facts: &[&Fact], terms: &Terms, end: Duration, breaks: &mut Vec<Break>) {
+    let (mut launched, mut late) = (0_usize, Vec::new());
+    for (n, f) in facts.iter().enumerate() {
+        let Seen::Launched { router } = &f.seen else { continue };
+        launched += 1;
+        let says = |g: &&&Fact| matches!(&g.seen, Seen::Ready { router: r } if r == router);
+        let again = |g: &&&Fact| matches!(&g.seen, Seen::Launched { router: r } if r == router);
+        // One that is ended before it was ready is judged as long as it ran.
+        let life = facts[n + 1..].iter().find(again).map_or(end, |g| g.at);
+        let first = facts[n + 1..].iter().find(says).map(|g| g.at).filter(|&at| at <= life);
+        if first.unwrap_or(life) > f.at + terms.ready + terms.wire {
+            late.push(router.as_str());
+        }
+    }
+    if late.len() as f64 > launched as f64 * (1.0 - terms.ready_part) + 1e-9 {
+        let what = format!("{} of {launched} were not ready within {:?}: {late:?}", late.len(), terms.ready);
+        breaks.push(Break { term: Term::Ready, at: end, what });
+    }
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -545,7 +545,12 @@
             }
             Input::Lost(conn, why) => self.cut(now, conn, why),
             Input::Stop => self.left = 0,
-            Input::Accepted(..) | Input::Sent(..) | Input::Wake | Input::Datagram(..) | Input::News(_) => {}
+            Input::Accepted(..)
+            | Input::Sent(..)
+            | Input::HungUp(_)
+            | Input::Wake
+            | Input::Datagram(..)
+            | Input::News(_) => {}
         }
         while let Some((&(at, n), _)) = self.alarms.first_key_value() {
             if at > now {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -716,6 +716,7 @@
                 self.gone(now, id, out);
             }
             Input::Lost(id, _) => self.gone(now, id, out),
+            Input::HungUp(_) => {}
             Input::Sent(id, n) => self.sent(now, id, n, out),
             Input::Wake => {
                 for job in self.fetches.late(now, out) {
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -48,6 +48,8 @@
     window: usize,
     arrived: VecDeque<Piece>,
     paused: bool,
+    /// The machine knows that the other end has closed it though it is paused.
+    hung_up: bool,
     last: Duration,
     /// The sender has ended it; nothing follows.
     closed: bool,
@@ -438,6 +440,10 @@
             let flow = &mut l.flows[to];
             let is_data = matches!(flow.arrived.front(), Some(Piece::Data(_) | Piece::Fin));
             if flow.paused && is_data {
+                let closed = |piece: &Piece| matches!(piece, Piece::Fin | Piece::Reset);
+                if flow.arrived.iter().any(closed) && !std::mem::replace(&mut flow.hung_up, true) {
+                    self.give(end.node, Input::HungUp(end.id));
+                }
                 return;
             }
             let Some(piece) = flow.arrived.pop_front() else { return };
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -6,10 +6,11 @@
 use slipreel_links::{Client, Received, State, Wheel};
 use slipreel_machine::{ConnId, Input, Machine, Output};
 use slipreel_protocol::http::{self, Limits, LAST_CHUNK};
+use slipreel_rulecheck::terms::Seen;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How often an engine fails, each as a share of attempts.
+/// How often an engine fails, each as a share of attempts, and how slow it is.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     /// Turned away: nothing ran.
@@ -24,6 +25,8 @@
     pub more: f64,
     /// Nothing more is said, on a connection that stays open.
     pub silence: f64,
+    /// No fault: so much longer than usual an attempt takes until it begins to answer.
+    pub slow: Duration,
 }
 
 struct Work {
@@ -118,6 +121,10 @@
         let Some(request) = received.head.get("x-request-id").map(str::to_owned) else {
             return self.answer(conn, 404, &[], b"", out);
         };
+        let mut fabric = look(&self.shared);
+        let work = fabric.work.get(&request).copied().unwrap_or(1.0);
+        fabric.see(self.now, Seen::Begun { engine: self.name.clone(), request: request.clone(), work });
+        drop(fabric);
         let faults = self.faults;
         let draw = self.chance();
         let mut under = 0.0;
@@ -145,7 +152,7 @@
         self.next += 1;
         let events = (!self.reads).then_some(3 + self.next as u32 % 5);
         self.work.insert(self.next, Work { conn, request, events, begun: false, fault });
-        let at = self.now + self.while_of(10, 40);
+        let at = self.now + self.faults.slow + self.while_of(10, 40);
         self.wheel.set(at, self.next);
     }
 
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,9 +8,10 @@
 mod engine;
 
 pub use client::{Clients, Ending};
-pub use discovery::{Discovery, Listing};
+pub use discovery::{Discovery, Listing, Mood};
 pub use engine::{Engine, Faults};
 
+use slipreel_rulecheck::terms::{Fact, Seen};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -30,6 +31,10 @@
     pub written: BTreeSet<String>,
     /// What was seen that must not be.
     pub broken: Vec<String>,
+    /// By request: its work, in requests of mean work.
+    pub work: BTreeMap<String, f64>,
+    /// What the judge of the terms goes by.
+    pub facts: Vec<Fact>,
 }
 
 /// A fabric in many hands.
@@ -44,6 +49,11 @@
 const ON_ITS_WAY: Duration = Duration::from_millis(1);
 
 impl Fabric {
+    /// Something was seen.
+    pub fn see(&mut self, at: Duration, seen: Seen) {
+        self.facts.push(Fact { at, seen });
+    }
+
     /// An engine's process has died: its work and what it held are gone.
     pub fn dies(&mut self, engine: &str) {
         self.at.remove(engine);
