Module: a cold engine gets at once what the settings let it have, shared out by chance

Cause: each router's bucket began up to a prompt short, and what it was then allowed met no request for that engine in that time (on_list, reached); what one engine bears was learnt as all that a router sends once few were left to send to (note_borne). Change: the bucket begins with the router's part of what rules.fall and rules.fall_multiple let the engine have at once, less a part of a prompt by chance; nothing is learnt of what is borne while under a quarter is left.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -38,6 +38,7 @@
         },
         cold_share: 0.3,
         cold_time: Duration::from_secs(13),
+        cold_budget: Duration::ZERO,
         let_go_within: Duration::from_millis(500),
     }
 }
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -84,6 +84,7 @@
         },
         cold_share: 0.3,
         cold_time: ms(13_000),
+        cold_budget: Duration::ZERO,
         let_go_within: ms(500),
     }
 }
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -225,6 +225,9 @@
         limits,
         cold_share: pairs.number("rules.cold_share", Some(0.0))?.min(1.0),
         cold_time: pairs.millis("rules.cold", Some(0.0))?,
+        cold_budget: pairs
+            .millis("rules.fall", Some(0.0))?
+            .mul_f64(pairs.number("rules.fall_multiple", Some(0.0))?.clamp(0.0, 1e3)),
         let_go_within: pairs.millis("extra.let_go_by", Some(0.0))?,
     };
     let names = |key: &str| pairs.list(key).into_iter().map(str::to_owned).collect::<Vec<_>>();
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -130,7 +130,7 @@
         ("model", "class") => "of which class its requests are",
         ("model", "served_as") => "by which name engines are asked for it",
         ("limits", "attempts") => "how often a request is tried",
-        ("limits", "cold_share" | "cold_time") => "how much a started engine is given",
+        ("limits", "cold_share" | "cold_time" | "cold_budget") => "how much a started engine is given",
         ("limits", "retry_after") => "when refused clients may come again, at most",
         ("operations", "taken_out") => "which engines take nothing new",
         ("operations", "roles_frozen") => "whether engines change their roles",
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -192,6 +192,7 @@
         },
         cold_share,
         cold_time: doc.or(at, "cold_time", start.cold_time),
+        cold_budget: doc.or(at, "cold_budget", start.cold_budget),
         let_go_within: doc.or(at, "let_go_within", start.let_go_within),
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -150,6 +150,9 @@
     pub cold_share: f64,
     /// And is warm within this time.
     pub cold_time: Duration,
+    /// Work of so long a time, at what it can do by then, that a cold engine may get at once from all routers; zero where
+    /// that is not told.
+    pub cold_budget: Duration,
     /// Held state must be taken or let go within this time.
     pub let_go_within: Duration,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 //!     },
 //!     cold_share: 0.3,
 //!     cold_time: ms(10_000),
+//!     cold_budget: Duration::ZERO,
 //!     let_go_within: ms(500),
 //! };
 //! let mut router = Router::new(settings, 7);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,12 +28,10 @@
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
 /// Least weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
 const MEAN_WEIGHT: f64 = 0.06;
-/// Prompt length assumed before the first request, tokens. Any plausible size does.
-const FIRST_PROMPT: f64 = 1_000.0;
+const FIRST_PROMPT: f64 = 1_000.0; // Prompt assumed before the first, tokens. Any plausible size does.
 /// Usual attempts that the estimate of an engine's waiting part starts from; no unit. Steadies small counts.
 const WAITING_PRIOR: f64 = 8.0;
-/// Requests that a tenant's bucket holds; no unit. Fewer take chance arrivals for too many.
-const QUOTA_DEPTH: f64 = 8.0;
+const QUOTA_DEPTH: f64 = 8.0; // Requests that a tenant's bucket holds; fewer take chance for too many.
 /// Wait told with a refusal or before the list is asked for again, jittered by half. A full queue's time.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Bounds of a reader's weight as a home; no unit. Readers have room for a quarter more.
@@ -47,28 +45,20 @@
 /// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
 const PATIENCE_DEVIATIONS: f64 = 4.0;
 const FIRST_PACE: f64 = 0.000_3; // Pace before any was seen, seconds a token. A slow reader's.
-/// Tokens added to each prompt when latencies are compared: the fixed part of an attempt.
-const FIXED_TOKENS: f64 = 500.0;
-/// Part of the let-go limit after which held state that finds no writer is let go; no unit.
-const HOLD_PART: f64 = 0.5;
-/// Ticks before the client's end at which the final answer goes out; no unit. One to tell, one to spare.
-const ANSWER_TICKS: u32 = 2;
-/// Ejection time of a first offence, jittered by a quarter. A short outage.
-const EJECT_BASE: Duration = Duration::from_millis(1_000);
-/// Doublings of the ejection time at most; no unit. Bounds it at eight seconds.
-const EJECT_DOUBLINGS: u32 = 3;
+const FIXED_TOKENS: f64 = 500.0; // Added to prompts where latencies are compared: an attempt's fixed part.
+const HOLD_PART: f64 = 0.5; // Part of the let-go limit after which state without a writer is let go.
+const ANSWER_TICKS: u32 = 2; // Ticks before a client's end at which it is answered: to tell, and to spare.
+const EJECT_BASE: Duration = Duration::from_millis(1_000); // Of a first offence, jittered by a quarter.
+const EJECT_DOUBLINGS: u32 = 3; // Doublings of that at most; no unit. Bounds it at eight seconds.
 /// Share of a role's engines under which ejections are set aside (panic threshold); no unit.
 const PANIC_SHARE: f64 = 0.5;
-/// Time after a `full` in which the engine is passed over where others are usable. A few services.
-const FULL_REST: Duration = Duration::from_millis(250);
+const FULL_REST: Duration = Duration::from_millis(250); // Rest after a `full` where others are usable.
 /// The same where the engine reports room: it turns away what this class sends, and goes on doing so.
 const THROTTLE_REST: Duration = Duration::from_millis(20_000);
-/// Time over which the rate sent to the engines of a role is averaged. Long against chance arrivals.
-const RATE_SPAN: Duration = Duration::from_millis(5_000);
+const RATE_SPAN: Duration = Duration::from_millis(5_000); // Over which sent rates are averaged.
 /// Time in which all routers together may send a cold engine one prompt where nothing is known of warm ones.
 const COLD_STEP: Duration = Duration::from_millis(1_000);
-/// Age from which an engine's report is asked for anew before it is chosen by. A refresh period or so.
-const FRESH: Duration = Duration::from_millis(600);
+const FRESH: Duration = Duration::from_millis(600); // Age from which reports are asked for anew.
 /// Longest wait for the engines asked, and for one to become usable. A round trip with a new connection.
 const ASK_WAIT: Duration = Duration::from_millis(30);
 /// Tokens that an engine which did not answer seems to bear: more than any does.
@@ -859,13 +849,14 @@
 
     /// An engine was heard of. If it could not be reached before, it counts as cold from now.
     fn reached(&mut self, now: Duration, engine: EngineId) {
-        let lack = self.chance() * *self.mean_prompt;
+        let Some(role) = self.servers.get(&engine).map(|s| s.role) else { return };
+        let bucket = self.first_level(role);
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         self.fleet.touch(engine);
         if server.unreachable() {
             (server.ejected, server.returned) = (None, Some(now));
-            (server.bucket, server.bucket_at) = (-lack, now);
+            (server.bucket, server.bucket_at) = (bucket, now);
         }
     }
 
@@ -914,15 +905,26 @@
         share * self.means[server.role as usize].borne.max(least)
     }
 
+    /// The level of a cold engine's bucket at first: up to a prompt short by chance, but for what it may get
+    /// at once. So many of all routers may send it a prompt as that budget holds.
+    fn first_level(&mut self, role: Role) -> f64 {
+        let budget = self.settings.cold_budget.as_secs_f64() * self.settings.cold_share;
+        budget * self.means[role as usize].borne - self.chance() * *self.mean_prompt
+    }
+
     fn note_borne(&mut self, now: Duration, role: Role, prompt: f64) {
         let cold = |s: &&Server| s.role == role && s.ready() && self.is_cold(now, s);
         let cold = self.fleet.odd.iter().filter_map(|id| self.servers.get(id)).filter(cold).count();
-        let warm = self.fleet.ready(role as usize).saturating_sub(cold).max(1) as f64;
+        let ready = self.fleet.ready(role as usize);
+        let warm = ready.saturating_sub(cold).max(1) as f64;
         let means = &mut self.means[role as usize];
         let age = now.saturating_sub(means.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64();
         means.rate = means.rate * (-age).exp() + prompt / RATE_SPAN.as_secs_f64();
         means.rate_at = now;
-        means.borne += MEAN_WEIGHT * (means.rate / warm - means.borne);
+        // What few are left to bear is no measure: most goes again and again where nobody can be reached.
+        if warm >= PANIC_SHARE / 2.0 * ready as f64 {
+            means.borne += MEAN_WEIGHT * (means.rate / warm - means.borne);
+        }
     }
 
     // ---- 9. Lists and reports -----------------------------------------------------------------
@@ -951,8 +953,7 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let lack = self.chance() * *self.mean_prompt;
-            let (heard, bucket, bucket_at) = (now, -lack, now);
+            let (heard, bucket, bucket_at) = (now, self.first_level(role), now);
             let fresh =
                 || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
             let place = |s: &Server| (s.role as usize, s.entry.state, s.entry.zone, s.entry.cell);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,6 +36,7 @@
         },
         cold_share: 0.3,
         cold_time: ms(10_000),
+        cold_budget: Duration::ZERO,
         let_go_within: ms(500),
     }
 }
