Process tests of the terms: twenty and thirty routers, faults between, one judge

Change: crates/cli/tests/platform starts routers as processes with an agent of discovery each, shared engines and clients that leave; tests/terms.rs plays a drain in an outage, kills of seven in ten while discovery is silent, and stops a tenth at a time.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,96 +1,16 @@
 //! `slipreel node` as the platform runs it: a process of its own, over sockets, with stand-ins around it.
 
+mod platform;
+
+use platform::{config, entry, folder, free_port, is_ready, ms, start};
 use slipreel_machine::Machine;
 use slipreel_net::{Clock, Command as Tell, Loop};
 use slipreel_standin::platform::{look, Clients, Discovery, Ending, Engine, Faults, Listing, Shared};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
-fn entry(name: &str, reads: bool, addr: SocketAddr) -> (String, String) {
-    let kind = if reads { "reads" } else { "writes" };
-    let text = format!(
-        r#"{{"name":"{name}","address":"{addr}","zone":"a","type":"{kind}","group":1,"status":"Ready","weight":1.0,"since_ms":0}}"#
-    );
-    (name.to_owned(), text)
-}
-
-fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":512}},"known":{known},
-        "settings":{{"balancers":1,"azs":["a"],"zone":0,"tick":4.0,"host_types":["reads","writes"],
-          "classes":[{{"name":"chat","target":1000.0,"worth":1.0,"idempotency":"safe","streaming":true}},
-                     {{"name":"once","target":1000.0,"worth":3.0,"idempotency":"unsafe","streaming":true}}],
-          "customers":[{{"name":"acme","quota_per_s":500.0}}],
-          "extra":{{"role_by_kind":["read","write"],"let_go_by":500.0,"resume":true,
-                   "report_x0":"share_of_memory_that_is_held"}},
-          "report":{{"columns":["pending","x0"],"source":"piggyback"}},
-          "limits":{{"cancelling":true,"may_probe":true,"retry_after":true,"max_retry_after":2000.0,"send_cap":4,
-                    "connect_timeout":250.0,"idle_close":30000.0}}}}}}"#
-    )
-}
-
-/// A process that is ended whatever happens.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([name, &self.0.id().to_string()]).status().expect("kill");
-        assert!(status.success());
-    }
-
-    /// Its exit code, if it ends in this time.
-    fn ends_within(&mut self, time: Duration) -> Option<i32> {
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            if let Some(status) = self.0.try_wait().expect("a child") {
-                return status.code();
-            }
-            std::thread::sleep(ms(20));
-        }
-        None
-    }
-}
-
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
-fn is_ready(addr: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect_timeout(&addr, ms(200)) else { return false };
-    let _ = stream.set_read_timeout(Some(ms(500)));
-    let asked = stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    let mut answer = String::new();
-    asked.is_ok() && stream.read_to_string(&mut answer).is_ok() && answer.starts_with("HTTP/1.1 200 ")
-}
-
-fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("slipreel-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    folder
-}
-
-fn start(file: &PathBuf) -> Process {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_slipreel"));
-    command.arg("node").env("LB_CONFIG", file).stderr(Stdio::null());
-    Process(command.spawn().expect("the program"))
-}
-
 #[test]
 fn a_node_serves_through_reloads_and_ends_in_order() {
     let shared = Shared::default();
--- /dev/null
+++ b/crates/cli/tests/terms.rs
@@ -0,0 +1,80 @@
+//! The acceptance's terms with many processes of `slipreel node`: one judge over what engines, clients and discovery saw.
+
+mod platform;
+use platform::{ms, Plan, Town};
+use slipreel_rulecheck::terms::{Term, Terms};
+use slipreel_standin::platform::{Ending, Mood};
+use std::time::Instant;
+
+/// Twenty processes, a drain while discovery is silent, clients that leave half of the time.
+#[test]
+fn twenty_processes_obey_the_list_and_leave_off_for_who_has_gone() {
+    let town =
+        Town::start(&Plan { routers: 20, every: ms(60), requests: 300, leaving: 0.5, ..Plan::default() });
+    town.wait(ms(2_500));
+    town.turn(Mood::Silent);
+    town.wait(ms(1_000));
+    town.say("e4", "Terminating");
+    town.wait(ms(2_000));
+    town.turn(Mood::Refuses);
+    town.wait(ms(1_500));
+    town.turn(Mood::Fine);
+    town.wait(ms(9_500));
+    let (facts, endings) = town.end();
+    // Twenty processes share the machine with all that they speak with: its delays are not the router's.
+    let terms = Terms { wire: ms(60), ..Terms::default() };
+    assert_eq!(facts.judge(&terms), []);
+    assert!(facts.begun("e4") > 100, "it had work before");
+    assert!(endings[&Ending::Served] > 1_500 && endings[&Ending::Left] > 500, "{endings:?}");
+    assert!(!endings.contains_key(&Ending::Mixed), "{endings:?}");
+}
+
+/// Thirty processes; seven in ten are killed in one moment while discovery is down, then a tenth at a time is told to end;
+/// clients connect again at once. Nine in ten of those started are ready in 10 s, and all in the time that a start takes.
+#[test]
+fn thirty_processes_are_ready_again_in_time_after_kills_and_stops_in_an_outage() {
+    let mut town = Town::start(&Plan { routers: 30, every: ms(80), requests: 260, ..Plan::default() });
+    town.wait(ms(1_500));
+    town.turn(Mood::Silent);
+    let killed = Instant::now();
+    for n in 0..21 {
+        town.kill(n);
+    }
+    for n in 0..21 {
+        town.launch(n);
+    }
+    town.wait(ms(3_000));
+    town.turn(Mood::Fine);
+    town.wait(ms(1_000));
+    for tenth in 0..3 {
+        for n in 21 + tenth * 3..24 + tenth * 3 {
+            town.stop(n);
+        }
+        town.wait(ms(700));
+        for n in 21 + tenth * 3..24 + tenth * 3 {
+            town.launch(n);
+        }
+    }
+    town.wait(ms(4_000));
+    assert!(killed.elapsed() < ms(60_000));
+    let (facts, endings) = town.end();
+    assert_eq!(facts.judge(&Terms { wire: ms(60), ..Terms::default() }), []);
+    let times = facts.times_to_ready();
+    assert_eq!(times.len(), 60, "each start is ready: thirty at first, thirty again");
+    println!("from start to ready: {:?} to {:?}, middle {:?}", times[0], times[59], times[30]);
+    assert!(times[53] < ms(3_000), "nine in ten: {:?}", times[53]);
+    assert!(endings[&Ending::Served] > 3_000, "{endings:?}");
+}
+
+/// A program that never becomes ready is caught.
+#[test]
+fn the_judge_catches_starts_that_are_not_ready_in_time() {
+    let mut town = Town::start(&Plan { routers: 3, requests: 0, ..Plan::default() });
+    town.wait(ms(200));
+    town.kill(0);
+    town.launch_unready(0);
+    town.wait(ms(11_000));
+    let (facts, _) = town.end();
+    let broken: Vec<Term> = facts.judge(&Terms::default()).into_iter().map(|b| b.term).collect();
+    assert_eq!(broken, [Term::Ready]);
+}
