Module: a cold engine takes its part of what would come to it, drawn by request

And simulated fleets with few, long prompts (a budget of three for 300 routers) still gave a started engine 0.02 of a warm one's work, or fell it where it was the only one left (14 of 60 starts with 20 routers). Cause: a bucket for each router is either too little together, or a prompt from each at once (pool, on_list). Change: each request draws once; a cold engine is one for it if the draw is under its part of the pace, less where few are left for such a draw; one that reports half of its budget as still to do is full; what a warm engine bears is what it gets done, so that neither refused nor lost work counts.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,28 +22,21 @@
 const WAITING_THRESHOLD: f64 = 60_000.0;
 /// Share of memory that counts as saturation 1. From the design: full memory alone refuses one in six.
 const MEMORY_THRESHOLD: f64 = 4.5;
-/// Part of the saturation that counts for protected requests; no unit. Their curve ends above the other's.
-const PROTECTED_PART: f64 = 0.8;
+const PROTECTED_PART: f64 = 0.8; // Part of the saturation that counts for protected requests; no unit.
 /// Age at which a report says nothing any more. A few refresh periods of slow reporters.
 const REPORT_LIFE: Duration = Duration::from_millis(3_000);
-/// Least weight of one sample in a mean over prompts or a role; no unit. About the last seventeen.
-const MEAN_WEIGHT: f64 = 0.06;
+const MEAN_WEIGHT: f64 = 0.06; // Least weight of a sample in a mean; no unit. About the last seventeen.
 const FIRST_PROMPT: f64 = 1_000.0; // Prompt assumed before the first, tokens. Any plausible size does.
-/// Usual attempts that the estimate of an engine's waiting part starts from; no unit. Steadies small counts.
-const WAITING_PRIOR: f64 = 8.0;
+const WAITING_PRIOR: f64 = 8.0; // Usual attempts that an engine's waiting part starts from; no unit.
 const QUOTA_DEPTH: f64 = 8.0; // Requests that a tenant's bucket holds; fewer take chance for too many.
 /// Wait told with a refusal or before the list is asked for again, jittered by half. A full queue's time.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Bounds of a reader's weight as a home; no unit. Readers have room for a quarter more.
 const HOME_WEIGHTS: [f64; 2] = [0.75, 1.25];
-/// How much more a home in the router's own zone weighs; no unit. Most, not all: the other zone stays a home.
-const OWN_ZONE: f64 = 2.5;
-/// Tokens borne by the preferred engine against those by another above which that one is taken; no unit.
-const FAR_FACTOR: f64 = 2.0;
-/// Shortest time that an attempt may say nothing. Longer than a routine pause.
-const MIN_PATIENCE: Duration = Duration::from_millis(900);
-/// Mean deviations over a role's mean pace that an attempt may take, as in TCP's time-out; no unit.
-const PATIENCE_DEVIATIONS: f64 = 4.0;
+const OWN_ZONE: f64 = 2.5; // How much more a home in the own zone weighs; no unit. Most, not all.
+const FAR_FACTOR: f64 = 2.0; // Spill: borne by the preferred engine against what another bears; no unit.
+const MIN_PATIENCE: Duration = Duration::from_millis(900); // The shortest. Longer than a routine pause.
+const PATIENCE_DEVIATIONS: f64 = 4.0; // Mean deviations that an attempt may take, as in TCP's time-out.
 const FIRST_PACE: f64 = 0.000_3; // Pace before any was seen, seconds a token. A slow reader's.
 const FIXED_TOKENS: f64 = 500.0; // Added to prompts where latencies are compared: an attempt's fixed part.
 const HOLD_PART: f64 = 0.5; // Part of the let-go limit after which state without a writer is let go.
@@ -61,10 +54,8 @@
 const FRESH: Duration = Duration::from_millis(600); // Age from which reports are asked for anew.
 /// Longest wait for the engines asked, and for one to become usable. A round trip with a new connection.
 const ASK_WAIT: Duration = Duration::from_millis(30);
-/// Tokens that an engine which did not answer seems to bear: more than any does.
-const SILENT_TOKENS: f64 = 1e9;
-/// No wait is longer, whatever a request claims: hosts' timers have an end.
-const LONGEST: Duration = Duration::from_secs(3_600);
+const SILENT_TOKENS: f64 = 1e9; // What an engine that did not answer seems to bear, tokens: more than any.
+const LONGEST: Duration = Duration::from_secs(3_600); // No wait is longer: hosts' timers have an end.
 
 type Out<'a> = &'a mut Vec<Action>;
 /// Why a timer was set.
@@ -97,8 +88,7 @@
     pace: f64,
     /// Until when it is passed over for each class, as it was full.
     rests: Vec<Duration>,
-    /// The bucket of a cold engine, tokens, as of `bucket_at`. It starts short by a chance part of a prompt:
-    /// hundreds of routers hear of it at once.
+    /// The bucket of a cold engine, tokens, as of `bucket_at`: above nothing it lets one prompt through.
     bucket: f64,
     bucket_at: Duration,
     probing: bool,
@@ -134,6 +124,8 @@
     ended: bool,
     /// Its tenant was over its share when it came.
     over_share: bool,
+    /// Drawn from 0 to 1: cold engines that let in less than that are none for it.
+    luck: f64,
     /// Until when it waits: for an engine, or for the answers of those in `choice`.
     parked: Option<Duration>,
     choice: Option<Choice>,
@@ -244,7 +236,8 @@
         let until =
             |left: Duration| now + left.min(LONGEST).saturating_sub(self.settings.tick * ANSWER_TICKS);
         let (deadline, whole_by) = (until(request.time_left), request.whole.map(until));
-        let job = Job { request, deadline, whole_by, over_share, ..Job::default() };
+        let luck = self.chance();
+        let job = Job { request, deadline, whole_by, over_share, luck, ..Job::default() };
         self.jobs.insert(id, job);
         if refused {
             self.ask_anyone(now, out);
@@ -548,6 +541,12 @@
             let load = |(waiting, memory)| (waiting + memory) * WAITING_THRESHOLD + self.reading(server);
             let load = self.parts(now, server).map(load);
             let load = load.unwrap_or_else(|| self.stage(now, server.role) * WAITING_THRESHOLD);
+            // A cold engine with half of its budget to do is full: its report is what all routers share.
+            let budget = self.settings.cold_budget.as_secs_f64() * f64::from(self.settings.routers);
+            if budget > 0.0 && self.is_cold(now, server) && load > 0.5 * budget * self.cold_rate(now, server)
+            {
+                return None;
+            }
             let silent = if server.heard + FRESH < asked { SILENT_TOKENS } else { 0.0 };
             // Exception: where no writer stands in its cell, all its states go far, which is slow and priced.
             let lone = server.role == Role::Read && !self.fleet.has_writer(server.entry.cell);
@@ -581,7 +580,13 @@
         let (all, lost) = (shelf.len() - gone.len(), |&at: &u32| server(at).is_some_and(Server::unreachable));
         let reachable = all - unusual.iter().filter(|&at| lost(at)).count();
         let panics = (reachable as f64) < PANIC_SHARE * all as f64;
-        let warm = |s: &Server| !self.is_cold(now, s) || s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
+        // A cold engine takes its part of what would come to it, drawn by request: hundreds of routers with a
+        // prompt each are too many. Less where few are left for such a draw, as more would come.
+        let shut = |at: &&u32| lost(at) || server(**at).is_some_and(|s| job.luck >= self.part(now, s));
+        let open = (all - unusual.iter().filter(shut).count()) as f64 / (PANIC_SHARE * all.max(1) as f64);
+        let drawn = |s: &Server| s.unreachable() || job.luck < self.part(now, s) * open.min(1.0);
+        let fills = |s: &Server| s.bucket_level(now, self.cold_rate(now, s)) > 0.0;
+        let warm = |s: &Server| !self.is_cold(now, s) || drawn(s) && fills(s);
         let out = |at: &u32| !panics && lost(at) || !server(*at).is_some_and(warm);
         let (unusable, rest): (Vec<u32>, Vec<u32>) = unusual.into_iter().partition(out);
         gone.extend(unusable);
@@ -635,9 +640,8 @@
         (server.out, server.waiting) = (server.out + 1.0, server.waiting + 1.0);
         server.since += prompt;
         let (role, own_pace) = (server.role, server.pace);
-        match cold_rate {
-            Some(rate) => (server.bucket, server.bucket_at) = (server.bucket_level(now, rate) - prompt, now),
-            None => self.note_borne(now, role, prompt),
+        if let Some(rate) = cold_rate {
+            (server.bucket, server.bucket_at) = (server.bucket_level(now, rate) - prompt, now);
         }
         out.push(Action::Send { request: id, engine, limit: None });
         let patience = self.patience(role, own_pace, prompt);
@@ -681,6 +685,7 @@
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
         self.stop_waiting(engine, sent, prompt);
+        self.note_borne(now, engine, prompt);
         self.heard_well(now, engine, Some((latency, prompt)));
     }
 
@@ -727,9 +732,6 @@
                 Outcome::Error if begun.is_none() => server.rests.fill(now + rest),
                 Outcome::Full { .. } => {
                     server.heard = now;
-                    // What is turned away is not borne: jammed peers would seem to bear what no cold one can.
-                    let means = &mut self.means[server.role as usize];
-                    means.rate = (means.rate - prompt / RATE_SPAN.as_secs_f64()).max(0.0);
                     server.rests[class] = now + if roomy { THROTTLE_REST } else { FULL_REST };
                 }
                 _ => {}
@@ -747,6 +749,9 @@
                     tokens = (prompt - ended.kept_tokens).max(0.0);
                     self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
                 }
+                if begun.is_none() {
+                    self.note_borne(now, engine, prompt);
+                }
                 let Means { waited, whole, .. } = &mut self.means[role as usize];
                 *waited += MEAN_WEIGHT * (begun.unwrap_or(latency).as_secs_f64() - *waited);
                 *whole += MEAN_WEIGHT * (latency.as_secs_f64() - *whole);
@@ -849,14 +854,12 @@
 
     /// An engine was heard of. If it could not be reached before, it counts as cold from now.
     fn reached(&mut self, now: Duration, engine: EngineId) {
-        let Some(role) = self.servers.get(&engine).map(|s| s.role) else { return };
-        let bucket = self.first_level(role);
         let Some(server) = self.servers.get_mut(&engine) else { return };
         server.heard = now;
         self.fleet.touch(engine);
         if server.unreachable() {
             (server.ejected, server.returned) = (None, Some(now));
-            (server.bucket, server.bucket_at) = (bucket, now);
+            (server.bucket, server.bucket_at) = (1.0, now);
         }
     }
 
@@ -896,35 +899,32 @@
         server.cold_since(now).is_some_and(|at| now < at.saturating_add(self.settings.cold_time))
     }
 
+    /// The part of its work that an engine can do by now.
+    fn part(&self, now: Duration, server: &Server) -> f64 {
+        let Some(since) = server.cold_since(now).filter(|_| self.is_cold(now, server)) else { return 1.0 };
+        let age = now.saturating_sub(since).as_secs_f64() / self.settings.cold_time.as_secs_f64().max(1e-3);
+        self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0)
+    }
+
     /// What this router may send a cold engine, tokens a second: its share of what a warm one bears.
     fn cold_rate(&self, now: Duration, server: &Server) -> f64 {
-        let age = now.saturating_sub(server.cold_since(now).unwrap_or(now)).as_secs_f64()
-            / self.settings.cold_time.as_secs_f64().max(1e-3);
-        let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * age.min(1.0);
         let least = *self.mean_prompt / COLD_STEP.as_secs_f64() / f64::from(self.settings.routers);
-        share * self.means[server.role as usize].borne.max(least)
+        self.part(now, server) * self.means[server.role as usize].borne.max(least)
     }
 
-    /// The level of a cold engine's bucket at first: up to a prompt short by chance, but for what it may get
-    /// at once. So many of all routers may send it a prompt as that budget holds.
-    fn first_level(&mut self, role: Role) -> f64 {
-        let budget = self.settings.cold_budget.as_secs_f64() * self.settings.cold_share;
-        budget * self.means[role as usize].borne - self.chance() * *self.mean_prompt
-    }
-
-    fn note_borne(&mut self, now: Duration, role: Role, prompt: f64) {
+    /// A warm engine has begun to answer, or has read. What is turned away, breaks or finds nobody is not
+    /// borne: jammed or lost peers would seem to bear what no cold one can.
+    fn note_borne(&mut self, now: Duration, engine: EngineId, prompt: f64) {
+        let warm = |s: &&Server| !self.is_cold(now, s);
+        let Some(role) = self.servers.get(&engine).filter(warm).map(|s| s.role) else { return };
         let cold = |s: &&Server| s.role == role && s.ready() && self.is_cold(now, s);
         let cold = self.fleet.odd.iter().filter_map(|id| self.servers.get(id)).filter(cold).count();
-        let ready = self.fleet.ready(role as usize);
-        let warm = ready.saturating_sub(cold).max(1) as f64;
+        let warm = self.fleet.ready(role as usize).saturating_sub(cold).max(1) as f64;
         let means = &mut self.means[role as usize];
         let age = now.saturating_sub(means.rate_at).as_secs_f64() / RATE_SPAN.as_secs_f64();
         means.rate = means.rate * (-age).exp() + prompt / RATE_SPAN.as_secs_f64();
         means.rate_at = now;
-        // What few are left to bear is no measure: most goes again and again where nobody can be reached.
-        if warm >= PANIC_SHARE / 2.0 * ready as f64 {
-            means.borne += MEAN_WEIGHT * (means.rate / warm - means.borne);
-        }
+        means.borne += MEAN_WEIGHT * (means.rate / warm - means.borne);
     }
 
     // ---- 9. Lists and reports -----------------------------------------------------------------
@@ -953,7 +953,7 @@
                 continue;
             }
             let Some(&role) = self.settings.kinds.get(entry.kind.0) else { continue };
-            let (heard, bucket, bucket_at) = (now, self.first_level(role), now);
+            let (heard, bucket, bucket_at) = (now, 1.0, now);
             let fresh =
                 || Server { entry: entry.clone(), role, heard, bucket, bucket_at, ..Server::default() };
             let place = |s: &Server| (s.role as usize, s.entry.state, s.entry.zone, s.entry.cell);
