Descriptors: a reserve for what routers open, the longest idle give way to who comes

Seen: three processes with 64 descriptors and 240 idle clients each (crates/cli/tests/terms.rs): 234 of 795 requests served, and the list was not asked for within 6 s of discovery's return. Cause: accept took each descriptor that fell free before the watch could (driver.rs, accept and connect), and rested 50 ms after each failure without the machine hearing of it. Change: four descriptors are kept for connections that the machines open, and filled first; Input::Crowded has the node end who stands idle longest; connections that only wait for their peer's end go first, and accepting goes on at once.

--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -729,7 +729,7 @@
             Input::Connected(conn) => self.lanes.connected(conn, out),
             Input::Data(conn, bytes) if conn.is_opened() => self.lanes.acked(conn, bytes.len()),
             Input::Data(conn, bytes) => self.inbound(now, conn, bytes, out),
-            Input::HungUp(_) => {}
+            Input::HungUp(_) | Input::Crowded(_) => {}
             Input::Eof(conn) => {
                 if self.inbound.remove(&conn).is_some() || self.lanes.has(conn) {
                     out.push(Output::Abort(conn));
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -54,6 +54,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.0.id().to_string()]).status().expect("kill");
         assert!(status.success());
@@ -104,8 +108,21 @@
 }
 
 pub fn start(file: &PathBuf) -> Process {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_slipreel"));
-    command.arg("node").env("LB_CONFIG", file).stderr(Stdio::null());
+    start_with(file, None)
+}
+
+/// The same in a process that the system allows no more than so many descriptors.
+pub fn start_with(file: &PathBuf, descriptors: Option<u32>) -> Process {
+    let program = env!("CARGO_BIN_EXE_slipreel");
+    let mut command = match descriptors {
+        None => Command::new(program),
+        Some(most) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", &format!("ulimit -n {most}; exec \"$0\" \"$@\""), program]);
+            shell
+        }
+    };
+    command.arg("node").env("LB_CONFIG", file).stderr(Stdio::null()).stdout(Stdio::null());
     Process(command.spawn().expect("the program"))
 }
 
@@ -120,6 +137,8 @@
     pub every: Duration,
     /// Share of clients that leave early.
     pub leaving: f64,
+    /// Descriptors that the system allows each router, below those of its configuration.
+    pub descriptors: Option<u32>,
     pub seed: u64,
 }
 
@@ -134,6 +153,7 @@
             requests: 100,
             every: ms(50),
             leaving: 0.0,
+            descriptors: None,
             seed: 1,
         }
     }
@@ -151,6 +171,7 @@
     engines: BTreeMap<String, (bool, SocketAddr)>,
     listens: Vec<SocketAddr>,
     files: Vec<PathBuf>,
+    descriptors: Option<u32>,
     processes: Vec<Process>,
     /// Told to end, and perhaps still at it.
     ending: Vec<Process>,
@@ -188,7 +209,9 @@
                 .replace("8c1f30d27a5be964", &format!("{:016x}", plan.seed * 1_000_003 + n as u64 + 1));
             let file = folder.join(format!("n{n}.json"));
             std::fs::write(&file, text).expect("a file");
-            (agents.push(node), listens.push(listen), files.push(file));
+            agents.push(node);
+            listens.push(listen);
+            files.push(file);
         }
         let around = (around.handle(), std::thread::spawn(move || around.run()));
         let mut asking: Loop<Clients> = Loop::new(clock).expect("an event loop");
@@ -213,6 +236,7 @@
             engines,
             listens,
             files,
+            descriptors: plan.descriptors,
             processes: Vec::new(),
             ending: Vec::new(),
             watching: Vec::new(),
@@ -236,7 +260,7 @@
     /// Starts a router's process, and notes when it says that it is ready.
     fn spawn(&mut self, n: usize) -> Process {
         self.see(Seen::Launched { router: format!("n{n}") });
-        let process = start(&self.files[n]);
+        let process = start_with(&self.files[n], self.descriptors);
         let (addr, shared, clock) = (self.listens[n], self.shared.clone(), self.clock);
         self.watching.push(std::thread::spawn(move || {
             for _ in 0..1_000 {
@@ -264,6 +288,25 @@
         self.launch(n);
     }
 
+    /// Connections to a router that ask once whether it is ready, and then stand idle for as long as they are kept.
+    pub fn stand_idle(&self, n: usize, count: usize) -> Vec<TcpStream> {
+        let open = |_| {
+            let mut stream = TcpStream::connect_timeout(&self.listens[n], ms(500)).ok()?;
+            stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
+            Some(stream)
+        };
+        (0..count).filter_map(open).collect()
+    }
+
+    /// CPU time that a router's process has used.
+    pub fn cpu(&self, n: usize) -> Duration {
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.processes[n].id())).expect("a process");
+        let fields: Vec<&str> = stat.rsplit(')').next().expect("fields").split_whitespace().collect();
+        let ticks: u64 = fields[11..13].iter().map(|f| f.parse::<u64>().expect("ticks")).sum();
+        ms(ticks * 10)
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self, n: usize) {
         self.processes[n].signal("-KILL");
--- a/crates/cli/tests/terms.rs
+++ b/crates/cli/tests/terms.rs
@@ -78,3 +78,33 @@
     let broken: Vec<Term> = facts.judge(&Terms::default()).into_iter().map(|b| b.term).collect();
     assert_eq!(broken, [Term::Ready]);
 }
+
+/// Idle clients fill all descriptors while discovery is down: watch, engines and who comes with a request have theirs all the
+/// same, the list is here in time once it is back, and nothing turns round and round meanwhile.
+#[test]
+fn idle_clients_that_take_all_descriptors_keep_out_neither_requests_nor_the_list() {
+    let plan = Plan { descriptors: Some(64), every: ms(40), requests: 330, ..Plan::default() };
+    let town = Town::start(&plan);
+    town.wait(ms(2_000));
+    town.turn(Mood::Refuses);
+    let before: Vec<_> = (0..3).map(|n| town.cpu(n)).collect();
+    let mut idle = Vec::new();
+    for _ in 0..4 {
+        for n in 0..3 {
+            idle.push(town.stand_idle(n, 60));
+        }
+        town.wait(ms(600));
+    }
+    town.say("e4", "Terminating");
+    town.wait(ms(500));
+    let used: Vec<_> = (0..3).map(|n| town.cpu(n) - before[n]).collect();
+    town.turn(Mood::Fine);
+    town.wait(ms(8_500));
+    let (facts, endings) = town.end();
+    assert_eq!(facts.judge(&Terms { wire: ms(60), ..Terms::default() }), []);
+    let total: u32 = endings.values().sum();
+    let served = endings[&Ending::Served];
+    println!("{served} of {total} served; CPU in three seconds without descriptors {used:?}");
+    assert!(f64::from(served) > 0.9 * f64::from(total), "{endings:?}");
+    assert!(used.iter().all(|&cpu| cpu < ms(1_500)), "{used:?}");
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -714,7 +714,7 @@
                     )));
                 }
             }
-            Input::Datagram(..) | Input::Sent(..) | Input::HungUp(_) | Input::Wake => {}
+            Input::Datagram(..) | Input::Sent(..) | Input::HungUp(_) | Input::Crowded(_) | Input::Wake => {}
         }
         self.wake(now, out);
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -483,7 +483,7 @@
             Input::Lost(conn, why) if conn.is_opened() => self.link_lost(conn, why, out),
             Input::Lost(conn, _) => self.client_gone(conn),
             // A client may ask, close its side and only listen: what it sent before is read first.
-            Input::HungUp(_) | Input::Wake | Input::Datagram(..) => {}
+            Input::HungUp(_) | Input::Crowded(_) | Input::Wake | Input::Datagram(..) => {}
             Input::Stop => self.stop(out),
             Input::News(news) => {
                 if let Some(list) = news.downcast_ref::<Vec<EngineSite>>() {
--- a/crates/ground/src/wire.rs
+++ b/crates/ground/src/wire.rs
@@ -223,7 +223,7 @@
                 }
             }
             Input::Data(conn, bytes) => self.data(now, conn, bytes, out),
-            Input::HungUp(_) => {}
+            Input::HungUp(_) | Input::Crowded(_) => {}
             Input::Eof(conn) | Input::Lost(conn, _) => self.end(conn, out),
             Input::News(news) => {
                 if let Some(Links(links)) = news.downcast_ref::<Arc<Links>>().map(|l| &**l) {
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -52,6 +52,8 @@
     Accepted(ConnId, Door),
     /// An [`Output::Connect`] has succeeded.
     Connected(ConnId),
+    /// A peer waits at a listener, and the process has no descriptor left to take it up with. Said again after a while.
+    Crowded(Door),
     /// Bytes have come in.
     Data(ConnId, &'a [u8]),
     /// The peer sends no more; it may still read.
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -24,6 +24,8 @@
 /// Wait before accepting goes on after descriptors ran out.
 const NO_DESCRIPTORS: Duration = Duration::from_millis(50);
 const BACKLOG: i32 = 4096;
+/// Descriptors kept for connections that the machines open: those that come in may take all others.
+const RESERVE: usize = 4;
 /// Datagrams taken at once before others have their turn. None is longer than a read.
 const DATAGRAMS: usize = 64;
 
@@ -148,6 +150,8 @@
     anywhere: bool,
     /// The most descriptors of connections; those that only wait for their peer's end go first.
     most: usize,
+    /// Descriptors of nothing, given up one by one where the process has no other left to connect with.
+    reserve: Vec<std::fs::File>,
 }
 
 const WAKE: u64 = u64::MAX;
@@ -198,9 +202,29 @@
             ended: false,
             anywhere: false,
             most: usize::MAX,
+            reserve: Vec::new(),
         })
     }
 
+    /// Fills the reserve of descriptors as far as there are any.
+    fn refill(&mut self) {
+        while self.reserve.len() < RESERVE {
+            let Ok(file) = std::fs::File::open("/dev/null") else { return };
+            self.reserve.push(file);
+        }
+    }
+
+    /// Closes the connection that has waited longest for its peer's end. False if none does.
+    fn close_lingering(&mut self) -> bool {
+        while let Some((_, slot, uses)) = self.lingering.pop_front() {
+            if self.uses[slot] == uses {
+                self.close(slot);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Lifts the guard that keeps this loop on loopback addresses: its caller vouches for every address that its machines
     /// name and that it listens on.
     pub fn allow_any_address(&mut self) {
@@ -332,6 +356,7 @@
     /// Epoll failed, which no input can cause.
     pub fn run(&mut self) -> std::io::Result<()> {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(1024);
+        self.refill();
         while !self.ended && (self.nodes.iter().any(|n| !n.stopped) || !self.lingering.is_empty()) {
             self.turn(&mut events)?;
         }
@@ -545,6 +570,16 @@
                 Err(Errno::AGAIN) => return,
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(_) => {
+                    // What only waits for its peer's end goes first, then what the machine ends to make room.
+                    if self.close_lingering() {
+                        continue;
+                    }
+                    let free = self.free.len();
+                    self.give(node, Input::Crowded(door));
+                    if self.close_lingering() || self.free.len() > free {
+                        continue;
+                    }
+                    let Slot::Listener(listener) = &mut self.slots[slot] else { return };
                     listener.resting = Some(self.clock.now() + NO_DESCRIPTORS);
                     let _ = epoll::modify(
                         &self.epoll,
@@ -783,7 +818,12 @@
             return self.give(node, lost(Loss::NotConnected));
         }
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let fd = match net::socket_with(family(addr), SocketType::STREAM, flags, None) {
+        let socket = || net::socket_with(family(addr), SocketType::STREAM, flags, None);
+        let mut made = socket();
+        if made.is_err() && self.reserve.pop().is_some() {
+            made = socket();
+        }
+        let fd = match made {
             Ok(fd) => fd,
             Err(_) => return self.give(node, lost(Loss::Exhausted)),
         };
@@ -844,5 +884,8 @@
         }
         self.uses[slot] = self.uses[slot].wrapping_add(1);
         self.free.push(slot);
+        if self.reserve.len() < RESERVE {
+            self.refill();
+        }
     }
 }
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -53,6 +53,10 @@
 
     pub(crate) fn link_lost(&mut self, conn: ConnId, why: Loss, out: &mut Vec<Output>) {
         if let Some(link) = self.forget_link(conn) {
+            if why == Loss::Exhausted {
+                // Room for the next one: engines' connections come before clients that stand idle.
+                self.evict(out);
+            }
             self.broke(&link);
             self.carried_ended(&link, loss_outcome(why, &link), out);
         }
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -538,6 +538,13 @@
         self.run_timers(out);
         match input {
             Input::Accepted(conn, _) => self.accepted(conn, out),
+            // The bounds of `room` hold for what the settings allow; the system may allow less. Who comes is worth more than
+            // who stands idle longest.
+            Input::Crowded(_) => {
+                if !self.evict(out) {
+                    self.close_oldest_idle(out);
+                }
+            }
             Input::Connected(conn) if self.is_watch(conn) => {
                 let asked = self.watch.ask(conn, self.now);
                 out.push(Output::Write(conn, asked));
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -10,8 +10,8 @@
 }
 
 /// Descriptors that a process has before any peer: standard streams, epoll, wake-up, signals, listener, discovery's two
-/// while it moves, a file that is read.
-const OWN: usize = 16;
+/// while it moves, a file that is read, the driver's reserve.
+const OWN: usize = 20;
 /// Bytes of a head: as common servers take.
 pub(crate) const HEAD: usize = 16 << 10;
 /// Bytes of a client's body. From the protocol.
--- a/crates/roles/src/conductor.rs
+++ b/crates/roles/src/conductor.rs
@@ -362,6 +362,7 @@
             Input::Accepted(..)
             | Input::Sent(..)
             | Input::HungUp(_)
+            | Input::Crowded(_)
             | Input::Wake
             | Input::Datagram(..)
             | Input::Stop => {}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -548,6 +548,7 @@
             Input::Accepted(..)
             | Input::Sent(..)
             | Input::HungUp(_)
+            | Input::Crowded(_)
             | Input::Wake
             | Input::Datagram(..)
             | Input::News(_) => {}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -716,7 +716,7 @@
                 self.gone(now, id, out);
             }
             Input::Lost(id, _) => self.gone(now, id, out),
-            Input::HungUp(_) => {}
+            Input::HungUp(_) | Input::Crowded(_) => {}
             Input::Sent(id, n) => self.sent(now, id, n, out),
             Input::Wake => {
                 for job in self.fetches.late(now, out) {
