Tests of the judge of the terms, and routers blind to cold engines that it catches

Need: each check is to be seen to let pass what is just inside and to catch what is just beyond, and a broken program. Change: crates/rulecheck/tests/terms.rs; a fleet in tests/cold_sum.rs whose routers take no engine for cold.

--- /dev/null
+++ b/crates/rulecheck/tests/terms.rs
@@ -0,0 +1,106 @@
+//! The judge of the acceptance's terms: for each, what is just inside and what is just beyond.
+
+use slipreel_rulecheck::terms::{judge, ColdBudget, Fact, Seen, Term, Terms};
+use std::time::Duration;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn at(n: u64, seen: Seen) -> Fact {
+    Fact { at: ms(n), seen }
+}
+
+fn begun(n: u64, engine: &str, request: &str) -> Fact {
+    at(n, Seen::Begun { engine: engine.into(), request: request.into(), work: 1.0 })
+}
+
+fn closed(n: u64, engine: &str, closed: bool) -> Fact {
+    at(n, Seen::Has { engine: engine.into(), closed })
+}
+
+fn broken(facts: &[Fact], terms: &Terms, end: u64) -> Vec<Term> {
+    judge(facts, terms, ms(end)).into_iter().map(|b| b.term).collect()
+}
+
+#[test]
+fn a_drain_counts_from_when_discovery_had_it_and_could_be_reached() {
+    let terms = Terms::default();
+    let last = 1_000 + 6_000 + 250 + 5;
+    assert_eq!(broken(&[closed(1_000, "e", true), begun(last, "e", "a")], &terms, 20_000), []);
+    assert_eq!(broken(&[closed(1_000, "e", true), begun(last + 1, "e", "a")], &terms, 20_000), [Term::Told]);
+    // Out of reach until 5 s: from then on.
+    let outage = [
+        at(500, Seen::Reachable(false)),
+        closed(1_000, "e", true),
+        at(5_000, Seen::Reachable(true)),
+        begun(last + 3_999, "e", "a"),
+    ];
+    assert_eq!(broken(&outage, &terms, 20_000), []);
+    let late = [&outage[..], &[begun(last + 4_001, "e", "b")]].concat();
+    assert_eq!(broken(&late, &terms, 20_000), [Term::Told]);
+    // Never in reach again, and taken back.
+    assert_eq!(broken(&[outage[0].clone(), outage[1].clone(), begun(90_000, "e", "a")], &terms, 99_000), []);
+    let back = [closed(1_000, "e", true), closed(9_000, "e", false), begun(9_001, "e", "a")];
+    assert_eq!(broken(&back, &terms, 20_000), []);
+}
+
+#[test]
+fn who_has_asked_before_asks_again_in_time_once_discovery_is_back() {
+    let asked = |n| at(n, Seen::Asked { router: "r".into() });
+    let outage = [asked(10), at(1_000, Seen::Reachable(false)), at(2_000, Seen::Reachable(true))];
+    let with = |n| [&outage[..], &[asked(n)]].concat();
+    assert_eq!(broken(&with(8_005), &Terms::default(), 20_000), []);
+    assert_eq!(broken(&with(8_006), &Terms::default(), 20_000), [Term::Asked]);
+    assert_eq!(broken(&outage, &Terms::default(), 8_000), [], "the run was over before its time was");
+}
+
+#[test]
+fn an_attempt_begins_no_later_than_a_tenth_of_a_second_after_its_client_has_gone() {
+    let gone = at(1_000, Seen::Gone { request: "a".into() });
+    assert_eq!(
+        broken(&[gone.clone(), begun(1_105, "e", "a"), begun(9_000, "e", "b")], &Terms::default(), 9_999),
+        []
+    );
+    assert_eq!(broken(&[gone, begun(1_106, "e", "a")], &Terms::default(), 9_999), [Term::Gone]);
+}
+
+#[test]
+fn a_cold_engine_gets_its_budget_and_chance_in_any_window_and_no_more() {
+    let budget =
+        ColdBudget { window: ms(2_000), multiple: 2.5, from: 0.25, warm_after: ms(10_000), warm: 10.0 };
+    let terms = Terms { cold: Some(budget), ..Terms::default() };
+    // 12.5 at the start, and 2 root 12.5 + 2 of chance: 21.57.
+    let start = at(1_000, Seen::Started { engine: "e".into() });
+    let sent = |count: u64, from: u64| (0..count).map(move |n| begun(from + n, "e", &format!("{from}-{n}")));
+    let of = |all: Vec<Fact>| [&[start.clone()][..], &all].concat();
+    assert_eq!(broken(&of(sent(21, 1_000).collect()), &terms, 20_000), []);
+    assert_eq!(broken(&of(sent(23, 1_000).collect()), &terms, 20_000), [Term::Cold]);
+    // Spread over two windows that share nothing; then warm.
+    let spread = sent(20, 1_000).chain(sent(20, 3_100)).chain(sent(90, 11_100)).collect();
+    assert_eq!(broken(&of(spread), &terms, 20_000), []);
+    // Later it may have more: 32.5 in a window four seconds on.
+    assert_eq!(broken(&of(sent(40, 5_000).collect()), &terms, 20_000), []);
+    assert!((budget.at(ms(4_000)) - 27.5).abs() < 1e-9 && (budget.at(ms(99_000)) - 50.0).abs() < 1e-9);
+}
+
+#[test]
+fn nine_in_ten_of_those_started_are_ready_in_time() {
+    let starts = |late: usize| -> Vec<Fact> {
+        let one = |n: usize| {
+            let router = format!("r{n}");
+            let ready = if n < late { 11_000 } else { 9_000 };
+            [at(0, Seen::Launched { router: router.clone() }), at(ready, Seen::Ready { router })]
+        };
+        (0..20).flat_map(one).collect()
+    };
+    assert_eq!(broken(&starts(2), &Terms::default(), 20_000), []);
+    assert_eq!(broken(&starts(3), &Terms::default(), 20_000), [Term::Ready]);
+    // Ended before it could be: judged as long as it ran.
+    let again = [
+        at(0, Seen::Launched { router: "r".into() }),
+        at(4_000, Seen::Launched { router: "r".into() }),
+        at(5_000, Seen::Ready { router: "r".into() }),
+    ];
+    assert_eq!(broken(&again, &Terms::default(), 20_000), []);
+}
--- a/tests/cold_sum.rs
+++ b/tests/cold_sum.rs
@@ -47,6 +47,8 @@
     routers_anew: bool,
     /// The engine was cut off for so long, and does not say that it started.
     cut: Duration,
+    /// The routers are broken on purpose: none takes an engine for cold.
+    blind: bool,
 }
 
 const PLAIN: Scene = Scene {
@@ -63,6 +65,7 @@
     told_over: Duration::ZERO,
     routers_anew: false,
     cut: Duration::ZERO,
+    blind: false,
 };
 
 struct Server {
@@ -194,7 +197,7 @@
                 connect_timeout: ms(250),
             },
             cold_share: BUDGET.from,
-            cold_time: BUDGET.warm_after,
+            cold_time: if self.scene.blind { Duration::ZERO } else { BUDGET.warm_after },
             cold_budget: BUDGET.window.mul_f64(BUDGET.multiple),
             let_go_within: ms(500),
         };
@@ -555,3 +558,9 @@
     }
     assert_eq!(bad, [], "routers, scene, starts over the bound, of so many");
 }
+
+#[test]
+fn routers_that_take_no_engine_for_cold_are_caught() {
+    let came = play(Scene { name: "blind, the only one", alone: ms(8_000), blind: true, ..PLAIN }, 6, 3);
+    assert!(came.over > came.starts / 2, "{} of {} starts", came.over, came.starts);
+}
