--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -137,6 +137,8 @@
     pub every: Duration,
     /// Share of clients that leave early.
     pub leaving: f64,
+    /// The rules on cold engines as the settings tell them, as JSON; none: an engine that starts is as good as any.
+    pub cold_rules: &'static str,
     /// Descriptors that the system allows each router, below those of its configuration.
     pub descriptors: Option<u32>,
     pub seed: u64,
@@ -153,6 +155,7 @@
             requests: 100,
             every: ms(50),
             leaving: 0.0,
+            cold_rules: "{}",
             descriptors: None,
             seed: 1,
         }
@@ -206,6 +209,10 @@
             let listen = free_port();
             let text = config(listen, discovery, &known)
                 .replace("\"balancers\":1", &format!("\"balancers\":{}", plan.routers))
+                .replace(
+                    "\"limits\":{\"cancelling\"",
+                    &format!("\"rules\":{},\"limits\":{{\"cancelling\"", plan.cold_rules),
+                )
                 .replace("8c1f30d27a5be964", &format!("{:016x}", plan.seed * 1_000_003 + n as u64 + 1));
             let file = folder.join(format!("n{n}.json"));
             std::fs::write(&file, text).expect("a file");
@@ -341,6 +348,19 @@
         }
     }
 
+    /// An engine has just started, and all agents have it.
+    pub fn start_anew(&self, engine: &str) {
+        let (reads, addr) = self.engines[engine];
+        self.see(Seen::Started { engine: engine.to_owned() });
+        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("after 1970");
+        let (name, text) = entry(engine, reads, addr);
+        let text = text.replace("\"since_ms\":0", &format!("\"since_ms\":{}", wall.as_millis()));
+        for &agent in &self.agents {
+            let change = Listing(vec![(name.clone(), text.clone())]);
+            self.around.0.tell(Tell::News(agent, Arc::new(change)));
+        }
+    }
+
     /// Ends all; gives what was seen, and how the requests ended.
     pub fn end(self) -> (Facts, BTreeMap<Ending, u32>) {
         self.asking.0.tell(Tell::End);
--- a/crates/cli/tests/terms.rs
+++ b/crates/cli/tests/terms.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 use platform::{ms, Plan, Town};
-use slipreel_rulecheck::terms::{Term, Terms};
+use slipreel_rulecheck::terms::{Break, ColdBudget, Term, Terms};
 use slipreel_standin::platform::{Ending, Mood};
 use std::time::Instant;
 
@@ -108,3 +108,37 @@
     assert!(f64::from(served) > 0.9 * f64::from(total), "{endings:?}");
     assert!(used.iter().all(|&cpu| cpu < ms(1_500)), "{used:?}");
 }
+
+/// A reader and a writer start anew under 330 requests a second from so many routers.
+fn cold_starts(routers: usize, cold_rules: &'static str, seed: u64) -> Vec<Break> {
+    let every = ms(3) * routers as u32;
+    let requests = 9_500 / every.as_millis() as u32;
+    let plan = Plan { routers, readers: 4, writers: 4, every, requests, cold_rules, seed, ..Plan::default() };
+    let town = Town::start(&plan);
+    town.wait(ms(4_500));
+    town.start_anew("e2");
+    town.start_anew("e7");
+    town.wait(ms(5_500));
+    let (facts, endings) = town.end();
+    assert!(endings[&Ending::Served] > 2_500, "{endings:?}");
+    // A quarter of the role's work is what a warm one bears; the rules are those of the settings.
+    let warm = 1_000.0 / 3.0 / 4.0;
+    let budget = ColdBudget { window: ms(2_000), multiple: 1.5, from: 0.3, warm_after: ms(10_000), warm };
+    assert!(facts.begun("e2") > 300 && facts.begun("e7") > 300, "they had work before");
+    facts.judge(&Terms { cold: Some(budget), wire: ms(60), ..Terms::default() })
+}
+
+const COLD: &str = r#"{"cold":10000.0,"cold_share":0.3,"fall":2000.0,"fall_multiple":1.5}"#;
+
+#[test]
+fn twenty_and_thirty_processes_push_no_started_engine_over_its_budget() {
+    for (routers, seed) in [(20, 1), (30, 2)] {
+        assert_eq!(cold_starts(routers, COLD, seed), [], "{routers} routers");
+    }
+}
+
+#[test]
+fn the_judge_catches_processes_that_take_no_engine_for_cold() {
+    let broken = cold_starts(20, "{}", 3);
+    assert!(!broken.is_empty() && broken.iter().all(|b| b.term == Term::Cold), "{broken:?}");
+}
