Module: what a warm engine bears is counted as it is sent again, refused work left out

To blame: note_borne at the answer, as hanging engines then leave cold ones no budget. Change: counted at the send, less what was refused, as it was before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -640,8 +640,9 @@
         (server.out, server.waiting) = (server.out + 1.0, server.waiting + 1.0);
         server.since += prompt;
         let (role, own_pace) = (server.role, server.pace);
-        if let Some(rate) = cold_rate {
-            (server.bucket, server.bucket_at) = (server.bucket_level(now, rate) - prompt, now);
+        match cold_rate {
+            Some(rate) => (server.bucket, server.bucket_at) = (server.bucket_level(now, rate) - prompt, now),
+            None => self.note_borne(now, role, prompt),
         }
         out.push(Action::Send { request: id, engine, limit: None });
         let patience = self.patience(role, own_pace, prompt);
@@ -685,7 +686,6 @@
         out.push(Action::Release(which.0));
         let (engine, sent, prompt) = (a.engine, a.sent, job.request.prompt_tokens);
         self.stop_waiting(engine, sent, prompt);
-        self.note_borne(now, engine, prompt);
         self.heard_well(now, engine, Some((latency, prompt)));
     }
 
@@ -732,6 +732,9 @@
                 Outcome::Error if begun.is_none() => server.rests.fill(now + rest),
                 Outcome::Full { .. } => {
                     server.heard = now;
+                    // What is turned away is not borne: jammed peers would seem to bear what no cold one can.
+                    let means = &mut self.means[server.role as usize];
+                    means.rate = (means.rate - prompt / RATE_SPAN.as_secs_f64()).max(0.0);
                     server.rests[class] = now + if roomy { THROTTLE_REST } else { FULL_REST };
                 }
                 _ => {}
@@ -749,9 +752,6 @@
                     tokens = (prompt - ended.kept_tokens).max(0.0);
                     self.unread += MEAN_WEIGHT * (tokens / prompt.max(1.0) - self.unread);
                 }
-                if begun.is_none() {
-                    self.note_borne(now, engine, prompt);
-                }
                 let Means { waited, whole, .. } = &mut self.means[role as usize];
                 *waited += MEAN_WEIGHT * (begun.unwrap_or(latency).as_secs_f64() - *waited);
                 *whole += MEAN_WEIGHT * (latency.as_secs_f64() - *whole);
@@ -912,11 +912,7 @@
         self.part(now, server) * self.means[server.role as usize].borne.max(least)
     }
 
-    /// A warm engine has begun to answer, or has read. What is turned away, breaks or finds nobody is not
-    /// borne: jammed or lost peers would seem to bear what no cold one can.
-    fn note_borne(&mut self, now: Duration, engine: EngineId, prompt: f64) {
-        let warm = |s: &&Server| !self.is_cold(now, s);
-        let Some(role) = self.servers.get(&engine).filter(warm).map(|s| s.role) else { return };
+    fn note_borne(&mut self, now: Duration, role: Role, prompt: f64) {
         let cold = |s: &&Server| s.role == role && s.ready() && self.is_cold(now, s);
         let cold = self.fleet.odd.iter().filter_map(|id| self.servers.get(id)).filter(cold).count();
         let warm = self.fleet.ready(role as usize).saturating_sub(cold).max(1) as f64;
