Failing tests: state stays held while decode engines do not read

Reproduced with two processes of slipreel node on loopback, whose decode engines are frozen: the system accepts connections and bytes for them, and nothing reads.

Seen: 22 requests' state held over 850 ms with two of five decode engines frozen, for as long as the attempt lasted. In virtual time the same; on the decisions alone no release is asked for within the limit, by either class. That tells hypothesis A (the attempt counts as out) from B (a release is lost): no release exists. Connections were free (C) and no clock was stepped (D).

Why no test saw it: the check of held state with silent decode engines looked only at requests whose clients had left. The new test looks at all.

--- a/crates/cli/tests/platform/cluster.rs
+++ b/crates/cli/tests/platform/cluster.rs
@@ -11,7 +11,7 @@
     lock_shared, Clients, Discovery, DiscoveryMode, Ending, EndpointChanges, Engine, Faults, Shared,
 };
 use std::any::Any;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -95,6 +95,7 @@
 struct ListedEngine {
     is_prefill: bool,
     address: SocketAddr,
+    machine: MachineId,
 }
 
 /// Many router processes, each with its own discovery agent, the engines that all of them use, and clients.
@@ -134,7 +135,7 @@
         let node = simulation.add(Box::new(engine));
         let address = simulation.listen(node, any_port()).expect("a port");
         entries.push(entry(&name, is_prefill, address));
-        engines.insert(name, ListedEngine { is_prefill, address });
+        engines.insert(name, ListedEngine { is_prefill, address, machine: node });
     }
     (engines, EndpointChanges(entries))
 }
@@ -313,7 +314,7 @@
 
     /// All agents list an engine with this status; only a `Ready` engine takes new work.
     pub fn set_status(&self, engine: &str, status: &str) {
-        let ListedEngine { is_prefill, address } = self.engines[engine];
+        let ListedEngine { is_prefill, address, .. } = self.engines[engine];
         self.record(Seen::EngineListed { engine: engine.to_owned(), closed: status != "Ready" });
         let (name, text) = entry(engine, is_prefill, address);
         let change = EndpointChanges(vec![(name, text.replace("\"Ready\"", &format!("\"{status}\"")))]);
@@ -322,7 +323,7 @@
 
     /// All agents list an engine as just started, so that it counts as cold.
     pub fn announce_start(&self, engine: &str) {
-        let ListedEngine { is_prefill, address } = self.engines[engine];
+        let ListedEngine { is_prefill, address, .. } = self.engines[engine];
         self.record(Seen::Started { engine: engine.to_owned() });
         let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("after 1970");
         let (name, text) = entry(engine, is_prefill, address);
@@ -330,6 +331,30 @@
         self.message_agents(&(Arc::new(EndpointChanges(vec![(name, text)])) as _));
     }
 
+    /// Freezes or thaws an engine: while it is frozen the system accepts connections and bytes for it, and
+    /// nothing reads them.
+    pub fn freeze(&self, engine: &str, frozen: bool) {
+        let machine = self.engines[engine].machine;
+        self.simulation.0.send(if frozen { Command::Freeze(machine) } else { Command::Thaw(machine) });
+    }
+
+    /// Lets time pass and returns the requests whose state an engine held for longer than `limit` meanwhile,
+    /// without an attempt at a running engine.
+    pub fn states_held_too_long(&self, time: Duration, limit: Duration) -> BTreeSet<String> {
+        let end = self.clock.now() + time;
+        let mut held_too_long = BTreeSet::new();
+        while self.clock.now() < end {
+            held_too_long.extend(lock_shared(&self.shared).pinned(self.clock.now(), limit));
+            std::thread::sleep(ms(2));
+        }
+        held_too_long
+    }
+
+    /// What engines saw that must not happen: requests that were decoded twice, and malformed ones.
+    pub fn broken(&self) -> Vec<String> {
+        lock_shared(&self.shared).broken.clone()
+    }
+
     /// Ends everything; returns the recorded facts, and how many requests ended in each way.
     pub fn end(self) -> (Facts, BTreeMap<Ending, u32>) {
         self.clients.0.send(Command::End);
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -60,6 +60,32 @@
     }
 }
 
+/// Guards against a check that leaves out requests whose clients still wait: with decode engines that do not
+/// run, the state of every one of them was held until its attempt was cancelled.
+#[test]
+fn held_state_is_released_in_time_while_decode_engines_are_silent() {
+    for (seed, silent) in [(1, &["e4", "e5"][..]), (2, &["e4", "e5", "e6", "e7", "e8"]), (3, &["e6"])] {
+        let layout = ClusterLayout {
+            routers: 2,
+            prefill_engines: 3,
+            decode_engines: 5,
+            requests: 800,
+            interval: ms(10),
+            seed,
+            ..ClusterLayout::default()
+        };
+        let mut cluster = Cluster::new(&layout);
+        cluster.run(ms(1_500));
+        silent.iter().for_each(|engine| cluster.freeze(engine, true));
+        let phase = format!("seed {seed}, {} of five decode engines silent", silent.len());
+        run_and_check_held_state(&mut cluster, ms(4_000), CheckedRequests::All, &phase);
+        silent.iter().for_each(|engine| cluster.freeze(engine, false));
+        let phase = format!("seed {seed}, they answer again");
+        run_and_check_held_state(&mut cluster, ms(4_000), CheckedRequests::All, &phase);
+        assert!(cluster.is_clean(), "seed {seed}: no request is decoded twice");
+    }
+}
+
 #[test]
 fn held_state_is_released_in_time_while_most_engines_are_silent() {
     for seed in 1..=6 {
--- a/tests/held_state.rs
+++ b/tests/held_state.rs
@@ -100,3 +100,47 @@
         );
     }
 }
+
+/// Lets time pass and fires the timers that were set, until an action matches. Returns the time it took; `None`
+/// if it took longer than `limit`.
+fn time_until(
+    host: &mut Host, mut pending: Vec<(TimerId, std::time::Duration)>, limit: std::time::Duration,
+    matches: impl Fn(&[Action]) -> bool,
+) -> Option<std::time::Duration> {
+    let start = host.now;
+    let mut due: Vec<(std::time::Duration, TimerId)> =
+        pending.drain(..).map(|(timer, after)| (start + after, timer)).collect();
+    while let Some(at) = (0..due.len()).min_by_key(|&at| due[at]) {
+        let (time, timer) = due.swap_remove(at);
+        if time > start + limit {
+            return None;
+        }
+        host.now = time;
+        let actions = host.handle(Event::TimerFired(timer));
+        if matches(&actions) {
+            return Some(host.now - start);
+        }
+        due.extend(timers(&actions).into_iter().map(|(timer, after)| (time + after, timer)));
+    }
+    None
+}
+
+/// Guards against state that stays held while a decode attempt has no answer: the attempt may never have
+/// arrived at an engine that runs, and was awaited for its whole patience or up to the client's deadline.
+#[test]
+fn state_is_released_in_time_while_a_decode_attempt_is_unanswered() {
+    for idempotency in [Idempotency::Idempotent, Idempotency::NotIdempotent] {
+        let mut host = Host::new(settings(idempotency), 1, vec![engine(1, 0, 0), engine(2, 1, 0)]);
+        let mut pending = timers(&host.submit(request(1, 0)));
+        let actions = host.end_attempt(1, 0, Outcome::Prefilled);
+        assert_eq!(send_target(&actions), Some(2));
+        pending.extend(timers(&actions));
+        let cancelled = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+        let released = |actions: &[Action]| is_released(actions) && !cancelled(actions);
+        let time = time_until(&mut host, pending, ms(500), released);
+        assert!(time.is_some(), "{idempotency:?}: no release within the limit of 500 ms");
+        // The engine that runs but answers late is still awaited, and its answer ends the request.
+        let actions = host.handle(Event::FirstToken { request: RequestId(1), attempt: 1, latency: ms(800) });
+        assert!(!is_failed(&actions) && send_target(&actions).is_none(), "{actions:?}");
+    }
+}
