Held state is released in time though a decode attempt has no answer

Cause: a written attempt counted as out, and no release was due before its end (advance, on_patience_exhausted, finish_request). A send that has not arrived does not stop the clock of held state; the router can't see whether it arrived.

Fix: after 0.8 of the limit the decision module asks for a release and goes on waiting. The platform sends the release again once that attempt has ended. An attempt that broke off without an answer no longer restarts the clock.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -46,6 +46,7 @@
         warmup_time: Duration::from_secs(13),
         warmup_budget: Duration::ZERO,
         held_state_limit: Duration::from_millis(500),
+        release_spares_awaited_state: true,
     }
 }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -93,6 +93,7 @@
         warmup_time: ms(13_000),
         warmup_budget: Duration::ZERO,
         held_state_limit: ms(500),
+        release_spares_awaited_state: false,
     }
 }
 
--- a/crates/platform-settings/src/lib.rs
+++ b/crates/platform-settings/src/lib.rs
@@ -141,6 +141,7 @@
         warmup_time: pairs.millis("rules.cold", Some(0.0))?,
         warmup_budget: warmup_budget(pairs)?,
         held_state_limit: pairs.millis("extra.let_go_by", Some(0.0))?,
+        release_spares_awaited_state: true,
     })
 }
 
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -277,10 +277,14 @@
             .collect()
     }
 
-    /// Records that its state is being released.
+    /// Records that its state is being released. A release spares state that a decode in flight waits for, so
+    /// that state has to be released once more when the decode has ended.
     pub(crate) fn begin_release(&mut self, release: ReleaseId) {
         self.release = Some(release);
         self.withdrawn_holder = None;
+        if self.attempts.iter().any(|attempt| attempt.in_flight && !attempt.is_prefill) {
+            return;
+        }
         let ended = self.attempts.iter_mut().filter(|attempt| !attempt.in_flight);
         ended.for_each(|attempt| attempt.may_hold_state = false);
     }
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -213,6 +213,7 @@
         warmup_time: doc.or(at, "cold_time", defaults.warmup_time),
         warmup_budget: doc.or(at, "cold_budget", defaults.warmup_budget),
         held_state_limit: doc.or(at, "let_go_within", defaults.held_state_limit),
+        release_spares_awaited_state: defaults.release_spares_awaited_state,
     }
 }
 
--- a/crates/test-servers/src/platform/client.rs
+++ b/crates/test-servers/src/platform/client.rs
@@ -173,10 +173,11 @@
             body.len()
         );
         out.push(Output::Write(conn, text.into_bytes()));
-        let due = self.exchanges.get_mut(&conn).map_or(self.now + DEADLINE, |exchange| {
-            exchange.sent = true;
-            exchange.due
-        });
+        // The time that a client waits counts from its send, however late the connection was established.
+        let due = self.now + DEADLINE;
+        if let Some(exchange) = self.exchanges.get_mut(&conn) {
+            (exchange.sent, exchange.due) = (true, due);
+        }
         let router = self.target.to_string();
         lock_shared(&self.shared).see(self.now, Seen::Sent { router, request: name.to_owned(), due });
     }
--- a/crates/test-servers/src/platform/engine.rs
+++ b/crates/test-servers/src/platform/engine.rs
@@ -221,6 +221,7 @@
             shared.held_states.remove(&request);
             if !shared.decoded.insert(request.clone()) {
                 shared.broken.push(format!("{request}: decoded twice"));
+                shared.decoded_twice.push(request.clone());
             }
             drop(shared);
             if let Some(client) = self.clients.get_mut(&conn) {
--- a/crates/test-servers/src/platform/mod.rs
+++ b/crates/test-servers/src/platform/mod.rs
@@ -41,6 +41,8 @@
     pub attempts_at: BTreeMap<String, usize>,
     /// Requests whose decode has begun.
     pub decoded: BTreeSet<String>,
+    /// Requests that engines decoded more than once.
+    pub decoded_twice: Vec<String>,
     /// What engines saw that must not happen, as texts: requests decoded twice, and ones that can't be read.
     pub broken: Vec<String>,
     /// By request: its work, as a multiple of the mean work of a request.
@@ -123,6 +125,18 @@
         }
     }
 
+    /// Requests of a class that engines decoded more than once. Of a class that is safe to repeat some may be:
+    /// an engine that was frozen goes on with an attempt that was cancelled meanwhile.
+    pub fn decoded_twice_of(&self, class: &str) -> Vec<&str> {
+        let is_of_class = |name: &&String| {
+            self.facts.iter().any(|fact| match &fact.seen {
+                Seen::Described { request, traits } => request == *name && traits.class == class,
+                _ => false,
+            })
+        };
+        self.decoded_twice.iter().filter(is_of_class).map(String::as_str).collect()
+    }
+
     /// Requests whose state has been held for longer than `bound` without an attempt in progress.
     pub fn pinned(&self, now: Duration, bound: Duration) -> Vec<String> {
         let is_leaked = |(name, (_, since)): (&String, &(String, Duration))| {
--- a/src/decisions/attempts.rs
+++ b/src/decisions/attempts.rs
@@ -117,6 +117,7 @@
             first_token_latency: None,
             engine_reusable: false,
             state_to_fetch,
+            state_released: false,
         });
         if !is_prefill && active.possible_run.is_none() {
             active.possible_run = Some(PossibleRun {
@@ -140,6 +141,10 @@
         actions.push(Action::Send { request: id, engine, timeout: timeout.filter(|_| !is_prefill) });
         let patience = self.patience(role, own_pace, prompt);
         self.set_timer(Timer::AttemptPatience(id, attempt), patience, actions);
+        if let Some(held) = state_to_fetch.filter(|_| self.settings.release_spares_awaited_state) {
+            let release_in = Self::held_state_release_time(&self.settings, held).saturating_sub(now);
+            self.set_timer(Timer::HeldState(id, attempt), release_in, actions);
+        }
     }
 
     /// How long an engine may stay silent on an attempt with a prompt of this length. For an engine slower
--- a/src/decisions/release.rs
+++ b/src/decisions/release.rs
@@ -3,10 +3,10 @@
 //! Decides whether a request that is abandoned is rejected, so that its client may retry, or failed. Reads
 //! the request only. See docs/design.md, "The rules".
 
-use super::requests::Attempt;
+use super::requests::{Attempt, HeldState};
 use super::router::Router;
 use super::timers::Timer;
-use crate::interface::{Action, Idempotency, RequestId};
+use crate::interface::{Action, Idempotency, RequestId, Settings};
 use std::time::Duration;
 
 /// Retry-After of a rejection, and the wait before the endpoint list is requested again; both with jitter of
@@ -14,6 +14,9 @@
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Share of the limit on held state after which state without a usable decode engine is released; no unit.
 pub(super) const HELD_STATE_WAIT_SHARE: f64 = 0.5;
+/// Share of the limit on held state after which state is released though an attempt is to fetch it; no unit.
+/// The rest of the limit is for the release to arrive.
+const HELD_STATE_RELEASE_SHARE: f64 = 0.8;
 
 impl Router {
     /// Ends a request without another attempt: with a rejection if a retry by the client is safe, else with a
@@ -55,6 +58,22 @@
         }
     }
 
+    /// When held state is released unless an answer shows that it was fetched.
+    pub(super) fn held_state_release_time(settings: &Settings, held: HeldState) -> Duration {
+        held.since + settings.held_state_limit.mul_f64(HELD_STATE_RELEASE_SHARE)
+    }
+
+    /// Releases the state that an unanswered attempt was to fetch, and goes on waiting for the attempt: it may
+    /// lie unread at an engine that does not run. If it has arrived, the release spares the state that it
+    /// waits for.
+    pub(super) fn on_held_state_due(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.get_mut(&id).filter(|active| !active.ended) else { return };
+        let unanswered = |attempt: &&mut Attempt| attempt.in_flight && attempt.first_token_latency.is_none();
+        let Some(attempt) = active.attempts.get_mut(attempt).filter(unanswered) else { return };
+        attempt.state_released = true;
+        actions.push(Action::Release(id));
+    }
+
     /// Handles the timer of the deadline, which may have been extended since. A complete answer that is being
     /// decoded is left to the host, which bounds its time.
     pub(super) fn on_deadline(&mut self, now: Duration, id: RequestId, actions: &mut Vec<Action>) {
--- a/src/decisions/requests.rs
+++ b/src/decisions/requests.rs
@@ -46,6 +46,9 @@
     pub(super) engine_reusable: bool,
     /// The held state that it is to fetch.
     pub(super) state_to_fetch: Option<HeldState>,
+    /// Whether that state was released while it was unanswered. If it had arrived by then, the release spared
+    /// the state.
+    pub(super) state_released: bool,
 }
 
 /// The engines that the next attempt of a request may go to: preferred ones and those of the spill.
--- a/src/decisions/retries.rs
+++ b/src/decisions/retries.rs
@@ -177,8 +177,21 @@
         // allows one more such attempt.
         Outcome::ConnectFailed | Outcome::NotSent => {
             let one_more = PROBE_TIMEOUT + settings.limits.connect_timeout;
-            attempt.state_to_fetch.filter(|held| now + one_more <= held.since + settings.held_state_limit)
+            attempt.state_to_fetch.filter(|&held| allows_attempt(settings, now + one_more, held))
         }
+        // Nothing shows that the attempt arrived at an engine that runs: the state may have been held without
+        // an attempt all the time.
+        Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled
+            if settings.release_spares_awaited_state && !attempt.state_released =>
+        {
+            attempt.state_to_fetch.filter(|&held| allows_attempt(settings, now + PROBE_TIMEOUT, held))
+        }
+        // The attempt had arrived, so the state was not held without one; or it was released.
         _ => attempt.state_to_fetch.map(|held| HeldState { since: now, ..held }),
     }
 }
+
+/// Whether an attempt that arrives at this time may still fetch held state.
+fn allows_attempt(settings: &Settings, arrival: Duration, held: HeldState) -> bool {
+    arrival <= Router::held_state_release_time(settings, held)
+}
--- a/src/decisions/timers.rs
+++ b/src/decisions/timers.rs
@@ -13,6 +13,8 @@
     Deadline(RequestId),
     /// The attempt of this number has been silent for its whole patience.
     AttemptPatience(RequestId, usize),
+    /// The state that the attempt of this number is to fetch has to be released if it may still be held.
+    HeldState(RequestId, usize),
     /// The request has waited long enough for an engine or for answers to probes.
     Wait(RequestId),
     /// The ejection of the engine ends.
@@ -34,6 +36,7 @@
         match self.timers.remove(&timer) {
             Some(Timer::Deadline(id)) if is_open(&id) => self.on_deadline(now, id, actions),
             Some(Timer::AttemptPatience(id, attempt)) => self.on_patience_exhausted(id, attempt, actions),
+            Some(Timer::HeldState(id, attempt)) => self.on_held_state_due(id, attempt, actions),
             Some(Timer::Wait(id)) => {
                 let due =
                     |active: &&mut ActiveRequest| active.waiting_until.is_some_and(|until| now >= until);
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -132,4 +132,7 @@
     pub warmup_budget: Duration,
     /// Maximum time for which an engine may hold state before it is fetched or released.
     pub held_state_limit: Duration,
+    /// Whether a release spares the state that an attempt which has arrived at its engine waits for. If so,
+    /// state is released in time while an attempt that is to fetch it has no answer.
+    pub release_spares_awaited_state: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 //!     warmup_time: ms(10_000),
 //!     warmup_budget: Duration::ZERO,
 //!     held_state_limit: ms(500),
+//!     release_spares_awaited_state: true,
 //! };
 //! let mut router = Router::new(settings, 7);
 //! let mut actions = Vec::new();
--- a/tests/cold_sum.rs
+++ b/tests/cold_sum.rs
@@ -210,6 +210,7 @@
             warmup_time: if self.scenario.slow_start_disabled { Duration::ZERO } else { BUDGET.warm_after },
             warmup_budget: BUDGET.window.mul_f64(BUDGET.multiple),
             held_state_limit: ms(500),
+            release_spares_awaited_state: true,
         };
         Router::new(settings, self.rng.next_u64())
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,6 +44,7 @@
         warmup_time: ms(10_000),
         warmup_budget: Duration::ZERO,
         held_state_limit: ms(500),
+        release_spares_awaited_state: true,
     }
 }
 
