A release of an earlier prefill goes on while its retry is in flight

A prefill that broke off had left state, its release was lost, and sending the retry withdrew the release; while the retry hung at a frozen engine nothing released it.

Change: the release is withdrawn when the retried prefill ends, which is when a retry could take the state that a decode is to fetch, and no longer when it is sent.

--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -48,9 +48,6 @@
     fn send(&mut self, id: RequestId, engine: EngineId, timeout: Option<Duration>, out: &mut Vec<Output>) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(id) else { return };
-        if let Some(holder) = request.release().and_then(|release| self.releases.withdraw(release)) {
-            request.release_withdrawn(holder);
-        }
         let Some(endpoint) = self.endpoints.get(engine) else {
             // The engine has just left the list.
             let attempt = request.begin_attempt(now, engine, false);
@@ -236,6 +233,11 @@
         request.attempt_ended(now, attempt, &end);
         match outcome {
             Outcome::Prefilled => {
+                // If a release of an earlier prefill were retried now, it could free the state that this one
+                // has left for a decode. It is sent again after that decode.
+                if let Some(holder) = request.release().and_then(|release| self.releases.withdraw(release)) {
+                    request.release_withdrawn(holder);
+                }
                 self.counters.prefilled_tokens += request.params().prompt_tokens;
                 self.counters.cached_tokens += cached_tokens as u64;
             }
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -111,7 +111,7 @@
     is_closed: bool,
     /// The release of its state that is not acknowledged.
     release: Option<ReleaseId>,
-    /// The engine whose release was withdrawn when another attempt was sent, and still has to be sent.
+    /// The engine whose release was withdrawn when another prefill ended, and still has to be sent.
     withdrawn_holder: Option<EngineId>,
 }
 
@@ -289,8 +289,7 @@
         ended.for_each(|attempt| attempt.may_hold_state = false);
     }
 
-    /// Records that an unacknowledged release is withdrawn: if it were retried, it could release state that a
-    /// new attempt uses. It has to be sent after that attempt.
+    /// Records that an unacknowledged release is withdrawn, and has to be sent later.
     pub(crate) fn release_withdrawn(&mut self, holder: EngineId) {
         self.release = None;
         self.withdrawn_holder = Some(holder);
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -4,8 +4,9 @@
 mod common;
 use common::cluster::{Cluster, ClusterLayout};
 use common::{
-    aborted, bytes, chunk, config, engines, event, is_closed, list, lost, ms, opened, opened_watch, request,
-    sent_releases, status, Harness, DISCOVERY, PREFILLED, PREFILLED_WITHOUT_REPORT, RELEASED, STREAM_HEAD,
+    aborted, bytes, chunk, config, engines, event, forwarded_count, is_closed, list, lost, ms, opened,
+    opened_watch, request, sent_releases, status, Harness, DISCOVERY, PREFILLED, PREFILLED_WITHOUT_REPORT,
+    RELEASED, STREAM_HEAD,
 };
 use slipreel_invariants::terms::{Fact, Seen};
 use slipreel_platform::Config;
@@ -303,6 +304,41 @@
     assert!(!sent.is_empty(), "released once no attempt is in flight");
 }
 
+/// Guards against state of a prefill that broke off staying held while its retry hangs: the release was
+/// withdrawn when the retry was sent, so that it was never retried.
+#[test]
+fn a_release_goes_on_while_the_retried_prefill_is_unanswered() {
+    let mut harness = Harness::new();
+    let client = harness.connect_client();
+    let (first, _) = opened(&harness.receive(client, request("chat", "1")))[0];
+    harness.connected(first);
+    let out = harness.handle(lost(first, ConnectionLoss::Reset));
+    // Neither the release nor the retry is answered; the release is sent again several times.
+    let unanswered = releases_within(&mut harness, out, ms(600));
+    assert!(unanswered.len() >= 3, "{unanswered:?}");
+    assert_eq!(harness.router.held_state().releases, 1);
+}
+
+/// Guards against a release of an earlier prefill that takes the state which the retry has just left, before
+/// the decode that is to fetch it arrives.
+#[test]
+fn an_unacknowledged_release_is_withdrawn_when_the_retried_prefill_has_ended() {
+    let mut harness = Harness::new();
+    let client = harness.connect_client();
+    let (first, _) = opened(&harness.receive(client, request("chat", "1")))[0];
+    harness.connected(first);
+    let out = harness.handle(lost(first, ConnectionLoss::Reset));
+    let mut retried = None;
+    for (conn, _) in opened(&out) {
+        if forwarded_count(&harness.connected(conn)) > 0 {
+            retried = Some(conn);
+        }
+    }
+    let out = harness.receive(retried.expect("a retry"), PREFILLED_WITHOUT_REPORT);
+    let sent = releases_within(&mut harness, out, ms(350));
+    assert!(sent.is_empty(), "{sent:?}");
+}
+
 #[test]
 fn releases_get_a_connection_while_all_descriptors_for_engines_are_in_use() {
     // Few descriptors: four connections to engines.
