Log of releases: request, engine, time held and reason; longest held state

The evidence could not tell whether a release was sent: no line named the state, its release or its acknowledgement.

Change: typed events for a release that begins, is sent and is acknowledged, with fields request_id, engine, held_ms and reason; at most 200 lines of them between two status lines, the rest is counted.

--- a/crates/platform/src/active_requests.rs
+++ b/crates/platform/src/active_requests.rs
@@ -52,6 +52,12 @@
         self.by_id.iter().filter(|(_, request)| !request.is_closed()).map(|(&id, request)| (id, request))
     }
 
+    /// The longest time for which state has been held for a request in progress; zero if none is held.
+    pub(crate) fn longest_held_state(&self, now: Duration) -> Duration {
+        let held_since = self.by_id.values().filter_map(ActiveRequest::held_since).min();
+        held_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// Whether this attempt's stream is being forwarded to the client.
     pub(crate) fn is_streaming(&self, id: RequestId, attempt: usize) -> bool {
         self.get(id).is_some_and(|request| request.streaming_attempt() == Some(attempt))
--- a/crates/platform/src/endpoints.rs
+++ b/crates/platform/src/endpoints.rs
@@ -85,6 +85,11 @@
         contacts.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// The name of an engine in the list; its id if it is not listed.
+    pub(crate) fn name(&self, id: EngineId) -> String {
+        self.get(id).map_or_else(|| format!("{:x}", id.0), |endpoint| endpoint.name.clone())
+    }
+
     /// Records that bytes from an engine were received.
     pub(crate) fn record_contact(&mut self, id: EngineId, now: Duration) {
         if let Some(endpoint) = self.by_id.get_mut(&id) {
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -190,8 +190,7 @@
         &mut self, conn: ConnId, engine: EngineId, error: ResponseError, out: &mut Vec<Output>,
     ) {
         self.counters.malformed_responses += 1;
-        let endpoint = self.endpoints.get(engine);
-        let name = endpoint.map_or_else(|| format!("{:x}", engine.0), |endpoint| endpoint.name.clone());
+        let name = self.endpoints.name(engine);
         self.log_limited(|| LogEvent::MalformedResponse { engine: name, error }, out);
         self.abort_connection(conn, AttemptEnd::may_have_run(Outcome::Error), out);
     }
@@ -211,6 +210,11 @@
             self.counters.malformed_responses += 1;
             return self.abort_connection(conn, AttemptEnd::may_have_run(Outcome::Error), out);
         }
+        let acknowledged_by = self.engines.get(conn).map(EngineConnection::engine);
+        if let (Some(engine), Some(acknowledged)) = (acknowledged_by, self.releases.get(release)) {
+            let (request_id, engine) = (acknowledged.name.clone(), self.endpoints.name(engine));
+            self.log_release(LogEvent::ReleaseAcknowledged { request_id, engine }, out);
+        }
         self.releases.record_acknowledged(release, self.now);
         self.exchange_completed(conn, out);
     }
--- a/crates/platform/src/log_event.rs
+++ b/crates/platform/src/log_event.rs
@@ -34,6 +34,19 @@
         time_in_state: Duration,
         trace: String,
     },
+    /// A release of held state begins.
+    ReleaseBegan {
+        request_id: String,
+        /// The engine that holds the state.
+        engine: String,
+        /// How long it has held the state.
+        held: Duration,
+        reason: ReleaseReason,
+    },
+    /// A release was sent to an engine.
+    ReleaseSent { request_id: String, engine: String },
+    /// An engine acknowledged a release.
+    ReleaseAcknowledged { request_id: String, engine: String },
     /// An entry of the endpoint list was skipped: the settings do not name its kind of engine.
     UnknownEngineKind { engine: String, kind: String },
     /// The watch of the endpoint list failed; it is opened again.
@@ -46,6 +59,27 @@
     Status(Box<Status>),
 }
 
+/// Why held state is released.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReleaseReason {
+    /// A decode that is to fetch it has no answer, and may never have arrived.
+    DecodeUnanswered,
+    /// The request has its final answer, or its client has left.
+    RequestOver,
+    /// The request is prefilled again.
+    PrefilledAgain,
+}
+
+impl fmt::Display for ReleaseReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReleaseReason::DecodeUnanswered => "decode_unanswered",
+            ReleaseReason::RequestOver => "request_over",
+            ReleaseReason::PrefilledAgain => "prefilled_again",
+        })
+    }
+}
+
 /// The content of the status line: how much state a router holds, and its counters.
 #[derive(Debug)]
 pub(crate) struct Status {
@@ -55,6 +89,10 @@
     pub(crate) engines: usize,
     pub(crate) decision_module: StateSizes,
     pub(crate) counters: Counters,
+    /// The longest time for which state has been held for a request in progress, as far as is known.
+    pub(crate) longest_held_state: Duration,
+    /// Lines on releases that were suppressed since the last status line.
+    pub(crate) suppressed_release_lines: u64,
 }
 
 impl fmt::Display for LogEvent {
@@ -74,6 +112,19 @@
                     "never ran: {client_id} attempt {attempt}: {proof}, {micros} us in this state; {trace}"
                 )
             }
+            LogEvent::ReleaseBegan { request_id, engine, held, reason } => {
+                let held_ms = held.as_millis();
+                write!(
+                    f,
+                    "release begins: request_id={request_id} engine={engine} held_ms={held_ms} reason={reason}"
+                )
+            }
+            LogEvent::ReleaseSent { request_id, engine } => {
+                write!(f, "release sent: request_id={request_id} engine={engine}")
+            }
+            LogEvent::ReleaseAcknowledged { request_id, engine } => {
+                write!(f, "release acknowledged: request_id={request_id} engine={engine}")
+            }
             LogEvent::UnknownEngineKind { engine, kind } => {
                 write!(f, "engine {engine}: type {kind:?} is none of the settings; passed over")
             }
@@ -89,11 +140,14 @@
 
 impl fmt::Display for Status {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Status { held, busy_engine_connections, engines, decision_module, counters } = self;
+        let Status { held, busy_engine_connections, engines, decision_module, counters, .. } = self;
+        let (longest_held_ms, suppressed) =
+            (self.longest_held_state.as_millis(), self.suppressed_release_lines);
         write!(
             f,
             "clients {}, requests {}, connections to engines {} ({busy_engine_connections} busy), engines {engines}, \
-             timers {}, releases {}, module keeps {:?}; {counters}",
+             timers {}, releases {}, module keeps {:?}; {counters}; longest held state {longest_held_ms} ms, \
+             release lines suppressed {suppressed}",
             held.client_connections,
             held.requests,
             held.engine_connections,
--- a/crates/platform/src/log_event/tests.rs
+++ b/crates/platform/src/log_event/tests.rs
@@ -80,9 +80,27 @@
         engines: 17,
         decision_module: StateSizes { requests: 27, timers: 5, engines: 17 },
         counters: Counters { admitted: 9, ..Counters::default() },
+        longest_held_state: Duration::from_millis(130),
+        suppressed_release_lines: 4,
     };
     let expected = "clients 31, requests 27, connections to engines 56 (27 busy), engines 17, timers 90, \
                     releases 2, module keeps (27, 5, 17); Tally { taken: 9, served: 0,";
     let text = LogEvent::Status(Box::new(status)).to_string();
     assert_eq!(text.get(..expected.len()), Some(expected));
+    assert!(text.ends_with("; longest held state 130 ms, release lines suppressed 4"), "{text}");
+}
+
+#[test]
+fn lines_on_releases_name_request_engine_time_and_reason() {
+    let (request_id, engine) = ("9b1f".to_owned(), "s-1".to_owned());
+    let held = Duration::from_millis(400);
+    let reason = ReleaseReason::DecodeUnanswered;
+    let began =
+        LogEvent::ReleaseBegan { request_id: request_id.clone(), engine: engine.clone(), held, reason };
+    let expected = "release begins: request_id=9b1f engine=s-1 held_ms=400 reason=decode_unanswered";
+    assert_eq!(began.to_string(), expected);
+    let sent = LogEvent::ReleaseSent { request_id: request_id.clone(), engine: engine.clone() };
+    assert_eq!(sent.to_string(), "release sent: request_id=9b1f engine=s-1");
+    let acknowledged = LogEvent::ReleaseAcknowledged { request_id, engine };
+    assert_eq!(acknowledged.to_string(), "release acknowledged: request_id=9b1f engine=s-1");
 }
--- a/crates/platform/src/log_limiter.rs
+++ b/crates/platform/src/log_limiter.rs
@@ -1,4 +1,4 @@
-//! Limits the number of log lines about faults of peers and about attempts that never ran.
+//! Limits the number of log lines about faults of peers, attempts that never ran and releases.
 
 use crate::log_event::LogEvent;
 use std::time::Duration;
@@ -6,8 +6,8 @@
 /// Minimum time between two lines.
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum number of lines about non-idempotent attempts that never ran, between two status lines.
-const MAX_NEVER_RAN_LINES: u32 = 200;
+/// Maximum number of lines of one kind between two status lines.
+const MAX_BUDGETED_LINES: u32 = 200;
 
 /// Passes one line per [`LOG_INTERVAL`] and counts those that it suppresses.
 #[derive(Debug, Default)]
@@ -34,23 +34,30 @@
     }
 }
 
-/// Limits the lines about non-idempotent attempts that never ran, between two status lines.
+/// Limits the lines of one kind between two status lines, and counts those that it suppresses.
 #[derive(Debug, Default)]
-pub(crate) struct NeverRanLogBudget {
+pub(crate) struct LineBudget {
     logged: u32,
+    suppressed: u64,
 }
 
-impl NeverRanLogBudget {
+impl LineBudget {
     /// Takes one line from the budget. False if none is left.
     pub(crate) fn take(&mut self) -> bool {
-        let is_left = self.logged < MAX_NEVER_RAN_LINES;
+        let is_left = self.logged < MAX_BUDGETED_LINES;
         self.logged += u32::from(is_left);
+        self.suppressed += u64::from(!is_left);
         is_left
     }
 
+    /// The number of lines that were suppressed since the budget was restored.
+    pub(crate) fn suppressed(&self) -> u64 {
+        self.suppressed
+    }
+
     /// Restores the whole budget, with each status line.
     pub(crate) fn reset(&mut self) {
-        self.logged = 0;
+        *self = LineBudget::default();
     }
 }
 
--- a/crates/platform/src/release.rs
+++ b/crates/platform/src/release.rs
@@ -6,6 +6,7 @@
 //! on any connection that has just received an answer.
 
 use crate::engine_connection::{ConnectionPurpose, EngineConnection, Exchange};
+use crate::log_event::LogEvent;
 use crate::router::PlatformRouter;
 use crate::timer::Timer;
 use slipreel::{EngineId, RequestId, Settings};
@@ -53,7 +54,9 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(&holder) = request.state_holders().first() else { return };
         let addr = self.endpoints.get(holder).map_or(PLACEHOLDER_ADDR, |endpoint| endpoint.addr);
-        let release = self.releases.add(self.now, holder, addr, request.client_id().to_owned());
+        let held = request.held_since().map_or(Duration::ZERO, |since| self.now.saturating_sub(since));
+        let (request_id, reason) = (request.client_id().to_owned(), request.release_reason());
+        let release = self.releases.add(self.now, holder, addr, request_id.clone());
         let unconfirmed = request.unconfirmed_attempts();
         if !unconfirmed.is_empty() {
             self.releases.repeat_until(release, self.now + RELEASE_REPEAT_PERIOD, unconfirmed);
@@ -62,6 +65,8 @@
             self.releases.withdraw(earlier);
         }
         request.begin_release(release);
+        let engine = self.endpoints.name(holder);
+        self.log_release(LogEvent::ReleaseBegan { request_id, engine, held, reason }, out);
         self.release_due(release, out);
     }
 
@@ -131,10 +136,19 @@
             http::request_head("DELETE", &target, &[("host", &addr.to_string())], Framing::Length(0));
         self.counters.releases += 1;
         self.releases.record_sent(id, engine, self.now);
+        let (request_id, name) = (release.name.clone(), self.endpoints.name(engine));
+        self.log_release(LogEvent::ReleaseSent { request_id, engine: name }, out);
         let purpose = ConnectionPurpose::Release(id);
         self.exchange(Exchange { engine, addr, purpose, request, holds_last_byte: false }, out);
     }
 
+    /// Logs a step of a release, within the budget of such lines.
+    pub(crate) fn log_release(&mut self, event: LogEvent, out: &mut Vec<Output>) {
+        if self.release_log.take() {
+            out.push(Output::Log(event.to_string()));
+        }
+    }
+
     /// Sends the oldest waiting release on a connection that has just received an answer and is idle, so that
     /// many releases can follow each other on one working connection while all others are silent.
     pub(crate) fn send_waiting_release(&mut self, conn: ConnId, out: &mut Vec<Output>) {
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -1,6 +1,7 @@
 //! One request in progress: its client, the message for engines, its attempts, and the state that engines may
 //! hold for it.
 
+use crate::log_event::ReleaseReason;
 use crate::proof::AttemptEnd;
 use slipreel::{EngineId, Outcome};
 use slipreel_connections::{ReceivedRequest, ReleaseId, UnconfirmedAttempt};
@@ -262,6 +263,22 @@
         holding.map(|attempt| attempt.engine).chain(self.withdrawn_holder).collect()
     }
 
+    /// Since when state has been held for it, as far as is known; `None` if none is.
+    pub(crate) fn held_since(&self) -> Option<Duration> {
+        let holding = self.attempts.iter().filter(|attempt| attempt.may_hold_state && !attempt.in_flight);
+        holding.map(|attempt| attempt.ended_at).min()
+    }
+
+    /// Why its state would be released now.
+    pub(crate) fn release_reason(&self) -> ReleaseReason {
+        let decodes = self.attempts.iter().any(|attempt| attempt.in_flight && !attempt.is_prefill);
+        match (self.is_closed, decodes) {
+            (true, _) => ReleaseReason::RequestOver,
+            (false, true) => ReleaseReason::DecodeUnanswered,
+            (false, false) => ReleaseReason::PrefilledAgain,
+        }
+    }
+
     /// The attempts that were cancelled or interrupted, which their engines may not have noticed yet. Until
     /// then a prefill may still leave state at its engine, and a decode that waits for state may prevent the
     /// release of that state. A prefill whose answer could not be parsed was cancelled as well.
--- a/crates/platform/src/router.rs
+++ b/crates/platform/src/router.rs
@@ -11,7 +11,7 @@
 use crate::engine_connections::EngineConnections;
 use crate::load_report::ReportLayout;
 use crate::log_event::{LogEvent, Status};
-use crate::log_limiter::{LogLimiter, NeverRanLogBudget};
+use crate::log_limiter::{LineBudget, LogLimiter};
 use crate::release;
 use crate::resource_limits::ResourceLimits;
 use crate::shutdown::Shutdown;
@@ -46,7 +46,8 @@
     pub(crate) timers: Timers,
     pub(crate) shutdown: Shutdown,
     pub(crate) counters: Counters,
-    pub(crate) never_ran_log: NeverRanLogBudget,
+    pub(crate) never_ran_log: LineBudget,
+    pub(crate) release_log: LineBudget,
     log_limiter: LogLimiter,
 }
 
@@ -84,7 +85,8 @@
             timers: Timers::default(),
             shutdown: Shutdown::new(profile.longest_wait),
             counters: Counters::default(),
-            never_ran_log: NeverRanLogBudget::default(),
+            never_ran_log: LineBudget::default(),
+            release_log: LineBudget::default(),
             log_limiter: LogLimiter::default(),
             profile,
         };
@@ -221,8 +223,9 @@
 
     fn status_due(&mut self, out: &mut Vec<Output>) {
         self.timers.set(self.now + STATUS_INTERVAL, Timer::Status);
-        self.never_ran_log.reset();
         self.log_status(out);
+        self.never_ran_log.reset();
+        self.release_log.reset();
     }
 
     pub(crate) fn log_status(&self, out: &mut Vec<Output>) {
@@ -232,6 +235,8 @@
             engines: self.endpoints.len(),
             decision_module: self.decisions.state_sizes(),
             counters: self.counters,
+            longest_held_state: self.requests.longest_held_state(self.now),
+            suppressed_release_lines: self.release_log.suppressed(),
         };
         out.push(Output::Log(LogEvent::Status(Box::new(status)).to_string()));
     }
