Back to repeats of 8 s: repeats take the state of a prompt that is prefilled again

A release that arrives while the prompt is being prefilled again takes what that prefill leaves.

Change: repeats end after 8 s again.

--- a/crates/platform/src/endpoints.rs
+++ b/crates/platform/src/endpoints.rs
@@ -90,6 +90,11 @@
         self.get(id).map_or_else(|| format!("{:x}", id.0), |endpoint| endpoint.name.clone())
     }
 
+    /// When bytes from an engine were last received; zero if never, or if it is not listed.
+    pub(crate) fn last_contact(&self, id: EngineId) -> Duration {
+        self.get(id).map_or(Duration::ZERO, |endpoint| endpoint.last_contact)
+    }
+
     /// Records that bytes from an engine were received.
     pub(crate) fn record_contact(&mut self, id: EngineId, now: Duration) {
         if let Some(endpoint) = self.by_id.get_mut(&id) {
--- a/crates/platform/src/release.rs
+++ b/crates/platform/src/release.rs
@@ -10,7 +10,7 @@
 use crate::router::PlatformRouter;
 use crate::timer::Timer;
 use slipreel::{EngineId, RequestId, Settings};
-use slipreel_connections::{Release, ReleaseId, ReleaseStep, ReleaseTiming, UnconfirmedAttempt};
+use slipreel_connections::{Release, ReleaseId, ReleaseStep, ReleaseTiming};
 use slipreel_protocol::http::{self, Framing};
 use slipreel_state_machine::{ConnId, Output};
 use std::net::SocketAddr;
@@ -32,11 +32,8 @@
 const CANCELLATION_SEEN_AFTER: Duration = Duration::from_millis(30);
 /// How long after the cancellation of a prefill its state may still appear: an engine that hangs or is cut
 /// off for that long continues the prefill before it sees that its connection was closed. Not every engine
-/// drops a prefill whose deadline has passed. As long as the longest outage for which releases are retried.
-const RELEASE_REPEAT_PERIOD: Duration = RELEASE_EXPIRY;
-/// The same for an engine that has left the list: its process ends soon. A listed engine that has sent nothing
-/// for as long gets the repeats itself, so that its answer shows that it runs again.
-const SILENT_ENGINE_PERIOD: Duration = Duration::from_millis(8_000);
+/// drops a prefill whose deadline has passed.
+const RELEASE_REPEAT_PERIOD: Duration = Duration::from_millis(8_000);
 
 /// The times at which releases are retried and repeated. They are repeated at the interval of the settings'
 /// limit on held state; its slack covers a retry.
@@ -90,23 +87,13 @@
     }
 
     /// Whether every engine with a cancelled or interrupted attempt has sent bytes late enough after the end
-    /// of the attempt to show that it has seen it, or left the list.
+    /// of the attempt to show that it has seen it.
     fn is_end_confirmed(&self, release: &Release) -> bool {
-        release.unconfirmed.iter().all(|attempt| match self.endpoints.get(attempt.engine) {
-            Some(endpoint) => endpoint.last_contact >= attempt.ended + CANCELLATION_SEEN_AFTER,
-            None => self.now >= attempt.ended + SILENT_ENGINE_PERIOD,
+        release.unconfirmed.iter().all(|attempt| {
+            self.endpoints.last_contact(attempt.engine) >= attempt.ended + CANCELLATION_SEEN_AFTER
         })
     }
 
-    /// An engine that has sent nothing for long after the end of its attempt.
-    fn silent_engine(&self, release: &Release) -> Option<EngineId> {
-        let is_silent = |attempt: &&UnconfirmedAttempt| {
-            let is_old = self.now >= attempt.ended + SILENT_ENGINE_PERIOD;
-            is_old && self.endpoints.get(attempt.engine).is_some_and(|e| e.last_contact < attempt.ended)
-        };
-        release.unconfirmed.iter().find(is_silent).map(|attempt| attempt.engine)
-    }
-
     /// The engines to which a release is sent now, of those to which it was not sent yet: the one with the
     /// latest contact among those with an idle connection; and, if there is none or the release was already
     /// sent without success, the one with the latest contact of all, to which a connection has to be opened.
@@ -120,11 +107,9 @@
         }
         let connected = candidates.iter().position(|&engine| self.engines.has_idle_to(engine));
         let mut targets: Vec<EngineId> = connected.map(|index| candidates[index]).into_iter().collect();
-        let is_unanswered = connected > Some(0) && !release.asked.is_empty();
-        let silent = self.silent_engine(release).filter(|_| release.repeats && connected.is_some());
-        let opens_connection = connected.is_none() || is_unanswered || silent.is_some();
+        let opens_connection = connected.is_none() || (connected > Some(0) && !release.asked.is_empty());
         if opens_connection && self.releases.may_open(release.holder, self.now, RELEASE_RETRY_INTERVAL) {
-            targets.extend(silent.as_ref().or(candidates.first()));
+            targets.extend(candidates.first());
         }
         targets
     }
