Repeats of a release rest while its prompt is prefilled again; postmortem

An unacknowledged one has to go on, or state of the first prefill stays held while the retry hangs.

Change: once acknowledged, a release is withdrawn while its request is being prefilled again, and goes out again after that.

--- a/crates/platform/src/active_requests.rs
+++ b/crates/platform/src/active_requests.rs
@@ -42,6 +42,12 @@
         self.by_id.get_mut(&id)
     }
 
+    /// The open request with this id of its client.
+    pub(crate) fn get_by_client_id_mut(&mut self, client_id: &str) -> Option<&mut ActiveRequest> {
+        let id = self.by_client_id.get(client_id)?;
+        self.by_id.get_mut(id)
+    }
+
     /// A request that is still open: it has no final answer, and its client is connected.
     pub(crate) fn get_open(&self, id: RequestId) -> Option<&ActiveRequest> {
         self.get(id).filter(|request| !request.is_closed())
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -216,6 +216,7 @@
             self.log_release(LogEvent::ReleaseAcknowledged { request_id, engine }, out);
         }
         self.releases.record_acknowledged(release, self.now);
+        self.suspend_repeats(release);
         self.exchange_completed(conn, out);
     }
 
--- a/crates/platform/src/release.rs
+++ b/crates/platform/src/release.rs
@@ -86,6 +86,18 @@
         }
     }
 
+    /// Withdraws an acknowledged release while its request is being prefilled again, as a repeat could take the
+    /// state that the new prefill leaves. It is sent again after that.
+    pub(crate) fn suspend_repeats(&mut self, id: ReleaseId) {
+        let Some(release) = self.releases.get(id) else { return };
+        let Some(request) = self.requests.get_by_client_id_mut(&release.name) else { return };
+        if request.release() == Some(id) && request.has_prefill_in_flight() {
+            if let Some(holder) = self.releases.withdraw(id) {
+                request.release_withdrawn(holder);
+            }
+        }
+    }
+
     /// Whether every engine with a cancelled or interrupted attempt has sent bytes late enough after the end
     /// of the attempt to show that it has seen it.
     fn is_end_confirmed(&self, release: &Release) -> bool {
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -269,6 +269,10 @@
         holding.map(|attempt| attempt.ended_at).min()
     }
 
+    pub(crate) fn has_prefill_in_flight(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.in_flight && attempt.is_prefill)
+    }
+
     /// Why its state would be released now.
     pub(crate) fn release_reason(&self) -> ReleaseReason {
         let decodes = self.attempts.iter().any(|attempt| attempt.in_flight && !attempt.is_prefill);
--- a/src/decisions/release.rs
+++ b/src/decisions/release.rs
@@ -63,8 +63,8 @@
         held.since + settings.held_state_limit.mul_f64(HELD_STATE_RELEASE_SHARE)
     }
 
-    /// Releases the state that an unanswered attempt was to fetch, and goes on waiting for the attempt: it may
-    /// lie unread at an engine that does not run. If it has arrived, the release spares the state that it
+    /// Releases the state that an unanswered attempt was to fetch, and goes on waiting for the attempt. It
+    /// may lie unread at an engine that does not run. If it has arrived, the release spares the state that it
     /// waits for.
     pub(super) fn on_held_state_due(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.get_mut(&id).filter(|active| !active.ended) else { return };
