--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,6 +2,7 @@
 
 mod never_ends;
 mod platform;
+mod restart;
 mod sites;
 
 fn main() {
@@ -11,6 +12,7 @@
     platform::limit_run(110);
     let code = match case.as_str() {
         "never_ends" => never_ends::run(),
+        "restart" => restart::run(),
         _ => 2,
     };
     std::process::exit(code);
