Review case 3: a slow list is never applied, and a draining engine gets new work

Case: discovery takes 1.8 s to send a list. The router closes each watch 1.5 s into an object and begins anew, so a drain is not acted on while discovery is slow; the engine gets new work until it ends, and answers of that work break off.

Nothing is fixed.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 mod platform;
 mod restart;
 mod sites;
+mod slow_list;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -13,6 +14,7 @@
     let code = match case.as_str() {
         "never_ends" => never_ends::run(),
         "restart" => restart::run(),
+        "slow_list" => slow_list::run(),
         _ => 2,
     };
     std::process::exit(code);
