--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review: `stand-ins CASE RECORD`, from the root of the repository.
 
 mod never_ends;
+mod pinned;
 mod platform;
 mod restart;
 mod sites;
@@ -13,6 +14,7 @@
     platform::limit_run(110);
     let code = match case.as_str() {
         "never_ends" => never_ends::run(),
+        "pinned" => pinned::run(),
         "restart" => restart::run(),
         "slow_list" => slow_list::run(),
         _ => 2,
