--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -957,6 +957,7 @@
     let Ok(stream) = TcpStream::connect(router) else { return Got { ended: now_ms(), ..Got::default() } };
     let _ = stream.set_read_timeout(Some(ms(30_000)));
     let mut reader = Reader::new(stream);
+    record(&format!("client {} asks: {} of {} tokens", request.id, request.class, request.prompt));
     if reader.stream.write_all(&request.bytes()).is_err() {
         return Got { ended: now_ms(), ..Got::default() };
     }
