--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -731,8 +731,7 @@
 
 /// Starts a router and waits until it is ready.
 pub fn start_router(name: &str, discovery: SocketAddr, known: &str, settings: &str) -> Router {
-    let temporary = std::env::var("TMPDIR").unwrap_or_else(|_| "/tmp".to_owned());
-    let folder = PathBuf::from(temporary).join(format!("review-{}-{name}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("review-{}-{name}", std::process::id()));
     std::fs::create_dir_all(folder.join("tmp")).expect("a temporary folder");
     let listen = free_address();
     let config = format!(
