A stream that goes on without events is cut off 4.2 s after its last event

Cause: EngineConnection::feed restarted the time-out of a stream with every read, whether or not it completed an event for the client. Evidence: comments, an event without an end and a chunk size without an end do the same, none near a limit of size; without further bytes the stream ends. Health checks and releases had the same restart: an answer that came byte by byte held its connection, and its engine got no further health check.

Change: the time-out of a stream runs from its last event (or from a pause that the client causes), those of health checks and releases from their request. Engines of the tests can send without an end in three ways; their clients wait 5.05 s after the last event, as the protocol says, in place of 12 s from the request.

--- a/crates/platform/src/engine_connection.rs
+++ b/crates/platform/src/engine_connection.rs
@@ -1,8 +1,10 @@
 //! A connection to an engine: the client side of HTTP, with one exchange at a time.
 //!
 //! States and their timeouts: `Connecting` (the connect timeout of the settings); `Busy` (`PROBE_TIMEOUT` or
-//! `RELEASE_TIMEOUT`; for an attempt the timeout of the decision module, then `STREAM_SILENCE_TIMEOUT` once
-//! its stream is being forwarded); `Idle` (a fraction of the engine's idle timeout).
+//! `RELEASE_TIMEOUT`; for an attempt the timeout of the decision module, then `STREAM_STALL_TIMEOUT` once its
+//! stream is being forwarded); `Idle` (a fraction of the engine's idle timeout).
+//!
+//! No timeout is restarted by bytes alone: an engine may send without ever completing anything.
 
 use crate::load_report::ReportLayout;
 use crate::proof::{AttemptEnd, NeverRan};
@@ -14,12 +16,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A stream that sends nothing for this long is cancelled: below the 5 s after which its client counts as
-/// left waiting.
-const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(4_200);
-/// A health check without an answer after this has failed.
+/// A stream without a further event for this long is cancelled: below the 5 s after which its client counts
+/// as left waiting.
+const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(4_200);
+/// A health check without a complete answer after this has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum time to send a release and receive its answer, opening the connection included.
+/// Maximum time to open a connection for a release, and maximum time to receive the complete answer on it.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long the last byte of a request that must not be repeated is held back. A peer that resets the
 /// connection when a request arrives does so within this time.
@@ -100,8 +102,10 @@
     addr: SocketAddr,
     state: State,
     purpose: ConnectionPurpose,
-    /// Since when the state lasts; while busy: when something was last received.
+    /// Since when the state lasts.
     since: Duration,
+    /// When its stream last made progress: an event was received, or reading was paused or resumed.
+    last_progress: Duration,
     /// The part of the request that is still to be written: all of it until the connection is established,
     /// then the last byte if it is held back.
     pending: Vec<u8>,
@@ -128,6 +132,7 @@
             state: State::Connecting,
             purpose,
             since: now,
+            last_progress: now,
             unsent: request.len(),
             pending: request,
             holds_last_byte,
@@ -159,7 +164,7 @@
         self.purpose
     }
 
-    /// Since when the state lasts; while busy: when something was last received.
+    /// Since when the state lasts.
     pub(crate) fn since(&self) -> Duration {
         self.since
     }
@@ -216,10 +221,10 @@
         self.paused
     }
 
-    /// Records that reading is paused or resumed. The silence timeout restarts.
+    /// Records that reading is paused or resumed. The stall timeout restarts.
     pub(crate) fn set_paused(&mut self, paused: bool, now: Duration) {
         self.paused = paused;
-        self.since = now;
+        self.last_progress = now;
     }
 
     /// When the connection times out; `None` if it has no timeout in its present state. `is_streaming`
@@ -236,10 +241,8 @@
                 LAST_BYTE_DELAY
             }
             (State::Busy, ConnectionPurpose::Attempt { request, attempt }) => {
-                if self.paused || !is_streaming(request, attempt) {
-                    return None;
-                }
-                STREAM_SILENCE_TIMEOUT
+                let may_stall = !self.paused && is_streaming(request, attempt);
+                return may_stall.then_some(self.last_progress + STREAM_STALL_TIMEOUT);
             }
         };
         Some(self.since + timeout)
@@ -293,8 +296,12 @@
     pub(crate) fn feed(
         &mut self, now: Duration, bytes: &[u8], layout: &ReportLayout, events: &mut Vec<ResponseEvent>,
     ) {
-        self.since = now;
+        let previous_count = events.len();
         self.response.feed(bytes, layout, events);
+        let is_progress = |event: &ResponseEvent| matches!(event, ResponseEvent::Events(_));
+        if events[previous_count..].iter().any(is_progress) {
+            self.last_progress = now;
+        }
     }
 
     /// Number of malformed load reports since the last call.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// A duration in milliseconds.
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -78,6 +78,16 @@
         Harness { router, now, client_count: 0 }
     }
 
+    /// A router that may send health checks, one of eight.
+    pub fn with_probes() -> Self {
+        let config = config(DISCOVERY, &list(41, true, &engines()), 256);
+        Self::with(
+            &config
+                .replace("\"may_probe\":false", "\"may_probe\":true")
+                .replace("\"balancers\":1", "\"balancers\":8"),
+        )
+    }
+
     /// Hands an input to the router and returns its outputs.
     pub fn handle(&mut self, input: Input<'_>) -> Vec<Output> {
         let mut out = Vec::new();
--- a/crates/platform/tests/fleet.rs
+++ b/crates/platform/tests/fleet.rs
@@ -193,3 +193,21 @@
         assert!(decisions.engines <= 7 && decisions.timers < 300 && *table_entries < 40, "{sizes:?}");
     }
 }
+
+/// Guards against a stall timeout that any byte of an engine restarts: clients of streams that go on with
+/// noise waited until they gave up themselves.
+#[test]
+fn endless_streams_keep_no_client_waiting() {
+    let faults = Faults { endless: 0.1, reset: 0.02, ..Faults::default() };
+    for seed in 21..=24 {
+        let mut fleet = Fleet::new(faults, 300, ms(20), seed);
+        fleet.run(ms(20_000));
+        let (clients, router) = (fleet.clients(), fleet.router());
+        assert_eq!(clients.odd, [""; 0], "seed {seed}: {:?}", clients.endings);
+        assert_eq!(clients.endings.values().sum::<u32>(), 300, "{:?}", clients.endings);
+        assert!(clients.endings[&Ending::Failed] > 10, "too few endless streams: {:?}", clients.endings);
+        assert!(clients.endings[&Ending::Served] > 200, "{:?}", clients.endings);
+        assert_eq!(router.held_state().requests, 0, "seed {seed}: no request is left");
+        assert!(router.attempts_on_connections().is_empty(), "seed {seed}: no attempt is left");
+    }
+}
--- a/crates/platform/tests/gone.rs
+++ b/crates/platform/tests/gone.rs
@@ -48,19 +48,10 @@
     );
 }
 
-fn harness_with_probes() -> Harness {
-    let config = config(DISCOVERY, &list(41, true, &engines()), 256);
-    Harness::with(
-        &config
-            .replace("\"may_probe\":false", "\"may_probe\":true")
-            .replace("\"balancers\":1", "\"balancers\":8"),
-    )
-}
-
 #[test]
 fn client_gone_while_a_probe_is_in_flight() {
     for disconnect in DISCONNECTS {
-        let mut harness = harness_with_probes();
+        let mut harness = Harness::with_probes();
         // Both decode engines are probed first, as their load reports are old.
         harness.advance(ms(5_000));
         let client = harness.connect_client();
--- a/crates/test-servers/src/platform/client.rs
+++ b/crates/test-servers/src/platform/client.rs
@@ -68,9 +68,9 @@
 
 /// How long a client waits for an answer to begin.
 const DEADLINE: Duration = Duration::from_millis(3_000);
-/// Added to the deadline of an answer once its stream has begun: the duration of the stream and what the
-/// protocol adds.
-const STREAM_TIME: Duration = Duration::from_millis(9_000);
+/// How long after the last event of its stream a client may be left waiting, from the protocol: 5 s, and 50 ms
+/// that every limit on sockets gets.
+const MAX_WAIT_AFTER_EVENT: Duration = Duration::from_millis(5_050);
 
 impl Clients {
     /// `count` requests, one every `interval` from `start` on.
@@ -195,11 +195,10 @@
                     }
                 }
                 Ok(Some(Item::Body(piece))) => {
-                    let is_first = exchange.body.is_empty();
                     exchange.body.extend_from_slice(&piece);
-                    if exchange.status == 200 && is_first {
+                    if exchange.status == 200 {
                         // A stream that has begun has no deadline, but it has to continue.
-                        exchange.due += STREAM_TIME;
+                        exchange.due = now + MAX_WAIT_AFTER_EVENT;
                     }
                 }
                 Ok(Some(Item::End)) => break true,
--- a/crates/test-servers/src/platform/engine.rs
+++ b/crates/test-servers/src/platform/engine.rs
@@ -27,6 +27,8 @@
     pub more: f64,
     /// Nothing more is sent, on a connection that stays open.
     pub silence: f64,
+    /// After some events of a stream, bytes that complete no event keep coming until the connection is closed.
+    pub endless: f64,
     /// Not a share: the extra time that every attempt takes before its answer begins.
     pub slow: Duration,
 }
@@ -41,6 +43,8 @@
     written: usize,
     has_begun: bool,
     fault: Fault,
+    /// Whether the noise of an endless stream has begun.
+    has_noise: bool,
 }
 
 /// The fault of one attempt.
@@ -51,6 +55,7 @@
     Garble,
     More,
     Silence,
+    Endless,
 }
 
 /// One engine. It serves every attempt after a random delay.
@@ -69,6 +74,25 @@
 
 /// The load report of every answer.
 const LOAD_REPORT: &str = "queue=1,x0=0.2";
+/// How many events an endless stream has before its noise.
+const EVENTS_BEFORE_NOISE: usize = 2;
+/// The time between two writes of an endless stream's noise.
+const NOISE_INTERVAL: Duration = Duration::from_millis(100);
+/// The head of a chunk that is too large for an event and that the noise of one stream does not fill.
+const LARGE_CHUNK_HEAD: &[u8] = b"8000\r\n";
+
+/// The bytes that an endless stream sends next. Streams differ by the number of their attempt: a comment in
+/// a chunk of its own, or noise or an event without an end inside of a large chunk.
+fn endless_bytes(attempt_number: u64, is_first: bool) -> Vec<u8> {
+    let piece: &[u8] = match attempt_number % 3 {
+        0 => return http::chunk(b": still working\n\n"),
+        1 => b"\x01\x02 noise that never ends \x03",
+        _ if is_first => b"data: ",
+        _ => b"an event that never ends",
+    };
+    let head = if is_first { LARGE_CHUNK_HEAD } else { b"" };
+    [head, piece].concat()
+}
 
 impl Engine {
     /// An engine that runs prefill or, if not `is_prefill`, decode.
@@ -162,6 +186,7 @@
             () if falls_in(faults.garble) => Fault::Garble,
             () if falls_in(faults.more) => Fault::More,
             () if falls_in(faults.silence) => Fault::Silence,
+            () if falls_in(faults.endless) => Fault::Endless,
             () => Fault::None,
         };
         lock_shared(&self.shared).begin(&request, &self.name, self.now);
@@ -169,7 +194,7 @@
         let events = (!self.is_prefill).then_some(3 + self.last_number as u32 % 5);
         self.attempts.insert(
             self.last_number,
-            ActiveAttempt { conn, request, events, written: 0, has_begun: false, fault },
+            ActiveAttempt { conn, request, events, written: 0, has_begun: false, fault, has_noise: false },
         );
         let at = self.now + self.faults.slow + self.random_delay(10, 40);
         self.timers.set(at, self.last_number);
@@ -201,6 +226,12 @@
                 self.attempts.remove(&n);
                 return;
             }
+            Fault::Endless if attempt.written >= EVENTS_BEFORE_NOISE => {
+                let is_first = !std::mem::replace(&mut attempt.has_noise, true);
+                out.push(Output::Write(conn, endless_bytes(n, is_first)));
+                self.timers.set(self.now + NOISE_INTERVAL, n);
+                return;
+            }
             _ => {}
         }
         let request = attempt.request.clone();
