serve: a stream that goes on without output is ended after silent_stream

A client of serve waited for as long as its engine sent comments, empty events or an event without an end.

Change: silent_stream runs from the last chunk with output for the client (or from a pause that the client causes), the others from their request.

--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -80,9 +80,11 @@
     pub(crate) engine: EngineId,
     pub(crate) state: State,
     pub(crate) purpose: ConnectionPurpose,
-    /// When the state began or data last arrived, which is when its timeout starts. Also set when reading is
-    /// paused or resumed.
+    /// When the state began, which is when its timeout starts.
     pub(crate) state_since: Duration,
+    /// When its stream last made progress: output for the client arrived, or reading was paused or resumed.
+    /// Bytes alone are no progress: an engine may send without ever completing anything.
+    pub(crate) last_progress: Duration,
     /// The request that is written once the connection is established.
     pub(crate) unsent_request: Vec<u8>,
     /// Reading is paused, since the client takes its answer too slowly.
@@ -114,6 +116,7 @@
             state: State::Connecting,
             purpose,
             state_since: now,
+            last_progress: now,
             unsent_request,
             paused: false,
             load_report: None,
@@ -140,7 +143,7 @@
             (State::Connecting, _) => Some(self.state_since + settings.decisions.limits.connect_timeout),
             (State::Busy, ConnectionPurpose::Probe) => Some(self.state_since + bounds.probe),
             (State::Busy, ConnectionPurpose::Attempt { .. }) => {
-                (is_streaming && !self.paused).then(|| self.state_since + bounds.silent_stream)
+                (is_streaming && !self.paused).then(|| self.last_progress + bounds.silent_stream)
             }
         }
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -47,13 +47,11 @@
 
     /// Handles bytes from an engine.
     pub(crate) fn engine_data(&mut self, conn: ConnId, bytes: &[u8], out: &mut Vec<Output>) {
-        let now = self.now;
         let Some(connection) = self.engine_connections.get_mut(conn) else { return };
         if connection.state != State::Busy {
             // Bytes without a request: what follows could be taken for the next answer.
             return self.abort_connection(conn, out, Outcome::Error);
         }
-        connection.state_since = now;
         let mut events = Vec::new();
         connection.feed(bytes, &mut events);
         self.handle_engine_events(conn, events, out);
@@ -199,6 +197,9 @@
                 );
             }
             EngineEvent::Chunk(chunk) => {
+                if MessageWriter::has_output(&chunk) {
+                    self.record_stream_progress(conn);
+                }
                 if !self.handle_chunk(id, attempt, &chunk, piece, out) {
                     self.abort_connection(conn, out, Outcome::Cancelled);
                 }
@@ -223,6 +224,14 @@
         }
     }
 
+    /// Restarts the stall timeout of a stream.
+    fn record_stream_progress(&mut self, conn: ConnId) {
+        let now = self.now;
+        if let Some(connection) = self.engine_connections.get_mut(conn) {
+            connection.last_progress = now;
+        }
+    }
+
     /// Ends the exchange of an attempt that was rejected. On a reused connection the rejection may be a late
     /// answer to an earlier exchange while this attempt still runs, so the connection is closed to abort it.
     fn end_rejected_exchange(&mut self, conn: ConnId, out: &mut Vec<Output>) {
@@ -368,7 +377,7 @@
         let Some(connection) = self.engine_connections.get_mut(conn) else { return };
         let should_pause = limits::should_pause(bounds, unsent, connection.paused);
         if should_pause != connection.paused {
-            (connection.paused, connection.state_since) = (should_pause, now);
+            (connection.paused, connection.last_progress) = (should_pause, now);
             out.push(if should_pause { Output::Pause(conn) } else { Output::Resume(conn) });
             self.arm_engine_timer(conn);
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -106,7 +106,7 @@
     pub receive: Duration,
     /// A client connection that accepts no data for this time while some is waiting is closed.
     pub stalled_peer: Duration,
-    /// An answer during which the engine sends nothing for this time is aborted.
+    /// An answer during which the engine sends no further output for this time is aborted.
     pub silent_stream: Duration,
     /// Time within which a probe has to be answered.
     pub probe: Duration,
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -271,6 +271,47 @@
     );
 }
 
+/// Guards against a stall timeout that any byte of an engine restarts: the client of a stream that goes on
+/// without output waited for as long as the engine sent something.
+#[test]
+fn a_stream_that_continues_without_output_is_aborted() {
+    let comment = slipreel_protocol::http::chunk(b": working\n\n");
+    let empty = slipreel_protocol::http::chunk(b"data: {\"choices\":[]}\n\n");
+    for (name, first, piece) in [
+        ("a chunk without an end", &b"8000\r\ndata: "[..], &b"a"[..]),
+        ("comments", &b""[..], &comment[..]),
+        ("events without output", &b""[..], &empty[..]),
+    ] {
+        let mut driver = Driver::new(settings());
+        let decode_conn = run_until_stream_head(&mut driver);
+        driver.handle(Input::Data(decode_conn, &token_event(1)));
+        let last_output = driver.now;
+        driver.handle(Input::Data(decode_conn, first));
+        while !driver.out.contains(&Output::Abort(decode_conn)) {
+            driver.advance(ms(1_000));
+            driver.handle(Input::Data(decode_conn, piece));
+            let waited = driver.now - last_output;
+            assert!(waited <= Bounds::default().silent_stream + ms(1_000), "{name}: {waited:?}");
+        }
+        assert!(written_text(&driver.out, CLIENT).contains("event: error\n"), "{name}");
+        assert_eq!(driver.gateway.held_state().requests, 0, "{name}");
+    }
+}
+
+#[test]
+fn a_stream_with_slow_output_is_not_aborted() {
+    let mut driver = Driver::new(settings());
+    let decode_conn = run_until_stream_head(&mut driver);
+    for _ in 0..5 {
+        driver.handle(Input::Data(decode_conn, &token_event(1)));
+        let written: usize =
+            driver.out.drain(..).map(|o| if let Output::Write(CLIENT, b) = o { b.len() } else { 0 }).sum();
+        driver.handle(Input::Sent(CLIENT, written));
+        driver.advance(Bounds::default().silent_stream - ms(1));
+    }
+    assert!(!driver.out.contains(&Output::Abort(decode_conn)));
+}
+
 #[test]
 fn a_shutdown_finishes_requests_and_accepts_no_new_ones() {
     let mut driver = Driver::new(settings());
