A stop migrates streams before the kill where the longest deadline is short

The kill may come as early as the longest deadline (3 s at most) plus 0.7 s after the stop signal; streams were migrated 2.4 s after it. With a longest deadline under 1.7 s the kill came first: streams that their clients would have resumed elsewhere were cut off, and those of requests that arrived over 0.7 s after the signal were lost.

Cause: the delay of the migration was a constant, where the other times of a shutdown follow the longest deadline.

Change: streams are migrated after 2.4 s or at the shutdown's last moment, whichever is earlier. Shutdown knows whether clients resume.

Measured: streams_are_migrated_before_an_early_kill fails before the change (longest deadline 0.6 s: the stream is open at the kill) and passes after it.

--- a/crates/platform/src/router.rs
+++ b/crates/platform/src/router.rs
@@ -83,7 +83,7 @@
             requests: ActiveRequests::default(),
             releases: ReleaseQueue::new(release::release_timing(&profile.settings)),
             timers: Timers::default(),
-            shutdown: Shutdown::new(profile.longest_wait),
+            shutdown: Shutdown::new(profile.longest_wait, profile.resumes),
             counters: Counters::default(),
             never_ran_log: LineBudget::default(),
             release_log: LineBudget::default(),
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -9,9 +9,10 @@
 /// How long after the stop signal a router still accepts requests: new clients have to be answered. From the
 /// protocol.
 const GRACE_PERIOD: Duration = Duration::from_millis(700);
-/// Time from the start of a shutdown to the migration of streams, if clients resume them: late enough for
-/// most streams to end by themselves, and early enough that the next router in a rolling restart still runs.
-const STREAM_MIGRATION_DELAY: Duration = Duration::from_millis(2_400);
+/// Maximum time from the start of a shutdown to the migration of streams, if clients resume them: late enough
+/// for most streams to end by themselves, and early enough that the next router in a rolling restart still
+/// runs.
+const MAX_STREAM_MIGRATION_DELAY: Duration = Duration::from_millis(2_400);
 /// Limit of a client's wait in the time until the process is killed. From the protocol.
 const MAX_CLIENT_WAIT: Duration = Duration::from_millis(3_000);
 /// How long before the process is killed all requests have to be answered.
@@ -50,28 +51,34 @@
     is_stopped: bool,
     /// Time from its start by which all requests have to be answered: the process is killed soon after.
     deadline: Duration,
+    /// Time from its start at which open streams are migrated; `None` if they run to their end, because
+    /// clients do not resume them.
+    stream_migration: Option<Duration>,
 }
 
 impl Shutdown {
     /// The state of a router that is not shutting down. `longest_wait` is the longest time that a client of
-    /// any class waits, if known.
-    pub(crate) fn new(longest_wait: Option<Duration>) -> Self {
+    /// any class waits, if known; `clients_resume` is whether clients resume streams that were cut off.
+    pub(crate) fn new(longest_wait: Option<Duration>, clients_resume: bool) -> Self {
         let longest_wait = longest_wait.unwrap_or(Duration::MAX).min(MAX_CLIENT_WAIT);
+        let deadline = (longest_wait + GRACE_PERIOD).saturating_sub(KILL_MARGIN);
         Shutdown {
             began: None,
             listener: ListenerState::Open,
             is_stopped: false,
-            deadline: (longest_wait + GRACE_PERIOD).saturating_sub(KILL_MARGIN),
+            deadline,
+            stream_migration: clients_resume.then_some(deadline.min(MAX_STREAM_MIGRATION_DELAY)),
         }
     }
 
     /// Begins a shutdown. Returns the times at which its steps are due; `None` if it had already begun.
-    pub(crate) fn begin(&mut self, now: Duration) -> Option<[Duration; 3]> {
+    pub(crate) fn begin(&mut self, now: Duration) -> Option<Vec<Duration>> {
         if self.has_begun() {
             return None;
         }
         self.began = Some(now);
-        Some([GRACE_PERIOD, STREAM_MIGRATION_DELAY, self.deadline].map(|step| now + step))
+        let steps = [GRACE_PERIOD, self.deadline].into_iter().chain(self.stream_migration);
+        Some(steps.map(|step| now + step).collect())
     }
 
     pub(crate) fn has_begun(&self) -> bool {
@@ -84,7 +91,7 @@
 
     /// Whether open streams are to be migrated.
     pub(crate) fn migrates_streams(&self, now: Duration) -> bool {
-        self.has_lasted(now, STREAM_MIGRATION_DELAY)
+        self.stream_migration.is_some_and(|delay| self.has_lasted(now, delay))
     }
 
     /// Whether all requests have to be answered by now.
@@ -156,7 +163,7 @@
     /// off, if clients resume them; at the deadline, fails requests whose stream has not begun.
     pub(crate) fn shutdown_step(&mut self, out: &mut Vec<Output>) {
         self.close_idle_clients(out);
-        let migrates_streams = self.profile.resumes && self.shutdown.migrates_streams(self.now);
+        let migrates_streams = self.shutdown.migrates_streams(self.now);
         let is_past_deadline = self.shutdown.is_past_deadline(self.now);
         let open: Vec<(RequestId, bool)> =
             self.requests.open().map(|(id, request)| (id, request.streaming_attempt().is_some())).collect();
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -57,6 +57,14 @@
     )
 }
 
+/// The configuration of a router whose clients resume broken streams if `resumes`, and wait at most `deadline`
+/// for a first event.
+pub fn config_for_restart(resumes: bool, deadline: Duration) -> String {
+    config(DISCOVERY, &list(41, true, &engines()), 256)
+        .replace("\"local_read\":false", &format!("\"local_read\":false,\"resume\":{resumes}"))
+        .replace("\"target\":1000.0", &format!("\"target\":1000.0,\"deadline\":{}.0", deadline.as_millis()))
+}
+
 /// A router under test with its virtual time.
 pub struct Harness {
     pub router: PlatformRouter,
