Test of stalled streams looks each 10 ms whether the connection was closed

Traced: the router closes the connection 4.2 s after the last event, but the test looked only after a whole interval of its noise (2 s) and counted 6 s.

Change: it looks each 10 ms; bound and noise are the same.

--- a/crates/platform/tests/stalled_streams.rs
+++ b/crates/platform/tests/stalled_streams.rs
@@ -27,15 +27,20 @@
     Noise { name: "a chunk size without an end", first: "1;", piece: "a", interval: ms(1_000) },
 ];
 
+/// How long the harness runs on before it looks whether a connection was closed.
+const STEP: Duration = ms(10);
+
 /// Feeds bytes at an interval for a time, or until their connection is closed. Returns the outputs.
 fn feed_for(
     harness: &mut Harness, conn: ConnId, piece: &str, interval: Duration, time: Duration,
 ) -> Vec<Output> {
     let (end, mut out) = (harness.now + time, Vec::new());
+    let mut next_piece = harness.now + interval;
     while harness.now < end && !is_closed(&out, conn) {
-        out.extend(harness.advance(interval));
-        if !is_closed(&out, conn) {
+        out.extend(harness.advance(STEP));
+        if harness.now >= next_piece && !is_closed(&out, conn) {
             out.extend(harness.receive(conn, piece));
+            next_piece += interval;
         }
     }
     out
