Late after SIGTERM, no request is taken whose stream the kill could cut off

What arrives over 0.7 s after it has to be answered.

Cause: requests were admitted until 0.45 s before the kill. That bounds the wait for the first event; a stream has no time-out once it has begun, and where clients don't resume streams nothing ends it before the kill.

Change: where clients don't resume, requests are admitted up to 0.55 s after the signal (0.7 s less the 0.15 s for which a process may be held up); later ones get 503, and idle connections are closed then, in place of 0.7 s. Where clients resume streams nothing changes.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -122,7 +122,7 @@
     /// Parses a request and checks whether this router may take it now.
     fn check_admissible(&mut self, received: &ReceivedRequest) -> Result<ParsedRequest, RequestError> {
         let parsed = parse_request::parse(&self.profile, received)?;
-        if self.shutdown.is_past_deadline(self.now) {
+        if !self.shutdown.admits_requests(self.now) {
             return Err(RequestError::ShuttingDown);
         }
         if self.requests.is_id_in_use(&parsed.client_id) {
--- a/crates/platform/src/request_error.rs
+++ b/crates/platform/src/request_error.rs
@@ -18,8 +18,7 @@
     Evicted,
     #[error("no such path")]
     UnknownPath,
-    /// The shutdown is past its deadline: all requests have their answers, and the process may be killed at
-    /// any time.
+    /// A shutdown is in progress, and the process may be killed before the request has its complete answer.
     #[error("this router is about to end")]
     ShuttingDown,
     #[error("X-Request-Id: a request of this id is open")]
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -6,9 +6,12 @@
 use slipreel_state_machine::Output;
 use std::time::Duration;
 
-/// How long after the stop signal a router still accepts requests: new clients have to be answered. From the
-/// protocol.
+/// How long after the stop signal a request that the kill cuts off is not lost. Until then new clients arrive
+/// and have to be answered, so a router does not end earlier. From the protocol.
 const GRACE_PERIOD: Duration = Duration::from_millis(700);
+/// How long the process may be held up between the signal, or a reading of the clock, and what follows. From
+/// the protocol.
+const MAX_HOLD_UP: Duration = Duration::from_millis(150);
 /// Maximum time from the start of a shutdown to the migration of streams, if clients resume them: late enough
 /// for most streams to end by themselves, and early enough that the next router in a rolling restart still
 /// runs.
@@ -51,6 +54,8 @@
     is_stopped: bool,
     /// Time from its start by which all requests have to be answered: the process is killed soon after.
     deadline: Duration,
+    /// Time from its start until which requests are admitted.
+    admission_period: Duration,
     /// Time from its start at which open streams are migrated; `None` if they run to their end, because
     /// clients do not resume them.
     stream_migration: Option<Duration>,
@@ -67,6 +72,11 @@
             listener: ListenerState::Open,
             is_stopped: false,
             deadline,
+            admission_period: if clients_resume {
+                deadline
+            } else {
+                deadline.min(GRACE_PERIOD - MAX_HOLD_UP)
+            },
             stream_migration: clients_resume.then_some(deadline.min(MAX_STREAM_MIGRATION_DELAY)),
         }
     }
@@ -77,7 +87,8 @@
             return None;
         }
         self.began = Some(now);
-        let steps = [GRACE_PERIOD, self.deadline].into_iter().chain(self.stream_migration);
+        let steps = [self.idle_close_delay(), GRACE_PERIOD, self.deadline];
+        let steps = steps.into_iter().chain(self.stream_migration);
         Some(steps.map(|step| now + step).collect())
     }
 
@@ -89,6 +100,20 @@
         self.began.is_some_and(|began| now >= began + time)
     }
 
+    /// Time from its start at which idle connections are closed.
+    fn idle_close_delay(&self) -> Duration {
+        GRACE_PERIOD.min(self.admission_period)
+    }
+
+    /// Whether requests are still admitted.
+    ///
+    /// Until the deadline, if clients resume streams: what is open by then is failed or migrated. A stream
+    /// that runs to its end has no deadline, so the kill may cut it off. It is only begun for requests whose
+    /// loss the protocol does not count.
+    pub(crate) fn admits_requests(&self, now: Duration) -> bool {
+        !self.has_lasted(now, self.admission_period)
+    }
+
     /// Whether open streams are to be migrated.
     pub(crate) fn migrates_streams(&self, now: Duration) -> bool {
         self.stream_migration.is_some_and(|delay| self.has_lasted(now, delay))
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod actor;
 pub mod cluster;
 pub mod day;
+pub mod restart;
 
 use slipreel_platform::{Config, PlatformRouter};
 use slipreel_state_machine::{ConnId, ConnectionLoss, Input, ListenerId, Machine, Output};
--- a/crates/test-servers/src/platform/engine.rs
+++ b/crates/test-servers/src/platform/engine.rs
@@ -31,6 +31,8 @@
     pub endless: f64,
     /// Not a share: the extra time that every attempt takes before its answer begins.
     pub slow: Duration,
+    /// Not a share: the extra time between two events of a stream.
+    pub event_delay: Duration,
 }
 
 /// An attempt in progress.
@@ -269,7 +271,7 @@
         lock_shared(&self.shared).see(self.now, written);
         if left > 0 {
             attempt.events = Some(left - 1);
-            let at = self.now + self.random_delay(2, 20);
+            let at = self.now + self.faults.event_delay + self.random_delay(2, 20);
             self.timers.set(at, n);
             return;
         }
