--- a/crates/gateway/src/engine_connection.rs
+++ b/crates/gateway/src/engine_connection.rs
@@ -3,8 +3,8 @@
 //!
 //! States and their timeouts: `Connecting` (the decision module's connect timeout), `Busy` (by the exchange:
 //! the timeout that the decision module gives an attempt, `probe` for probes, `silent_stream` once an answer
-//! has begun), `Idle` (`engine_idle`). A release has `limits::RELEASE_EXCHANGE_TIMEOUT` for connecting and
-//! its answer together if the connection was opened for it, else until it is given up.
+//! has begun), `Idle` (`engine_idle`). A release has `limits::RELEASE_EXCHANGE_TIMEOUT` for connecting, and
+//! again for its answer, if the connection was opened for it, else until it is given up.
 
 use crate::engine_error::{self, EngineError};
 use crate::limits::{self, MAX_ENGINE_BODY_BYTES};
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -102,9 +102,9 @@
 /// acknowledged needs no repeat.
 pub(crate) const RELEASE_TIMING: ReleaseTiming =
     ReleaseTiming { retry: ms(200), repeat: ms(500), give_up: Duration::from_secs(30) };
-/// How long a connection that was opened for a release may take to connect and to get its answer: as long as
-/// slow handshakes take. A connection that was already established keeps the release until the release is
-/// given up, since it is the first to work again when a link is back.
+/// How long a connection that was opened for a release may take to connect, and again to get its answer: as
+/// long as slow handshakes take. A connection that was already established keeps the release until the release
+/// is given up, since it is the first to work again when a link is back.
 pub(crate) const RELEASE_EXCHANGE_TIMEOUT: Duration = ms(2_000);
 
 /// Why the gateway does not admit a request.
