--- a/crates/cli/tests/restart.rs
+++ b/crates/cli/tests/restart.rs
@@ -63,7 +63,7 @@
 
 /// How a client uses its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Habit {
+enum ClientBehaviour {
     /// Connects before SIGTERM and writes the last byte of its request late.
     WritesSlowly,
     /// Connects after SIGTERM and writes the last byte of its request late.
@@ -75,7 +75,7 @@
 /// A request and its answer up to the end of its connection.
 #[derive(Debug)]
 struct Exchange {
-    habit: Habit,
+    behaviour: ClientBehaviour,
     /// When its last byte was written.
     arrived: Instant,
     /// When its connection ended.
@@ -134,14 +134,16 @@
 
 /// Connects and sends a request whose last byte is written at `last_byte`. `None` if the router has ended the
 /// connection before that, or closes it over a request that it has not read.
-fn send_late(router: SocketAddr, number: usize, habit: Habit, last_byte: Instant) -> Option<Exchange> {
+fn send_late(
+    router: SocketAddr, number: usize, behaviour: ClientBehaviour, last_byte: Instant,
+) -> Option<Exchange> {
     let mut stream = TcpStream::connect_timeout(&router, ms(1_000)).ok()?;
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: r{number}\r\nX-Class: chat\r\nX-Tenant: acme\r\n\
          X-Key: {number}\r\nX-Deadline: 7500m\r\nX-Extras: prompt_len=500,max_out=80\r\nContent-Length: 2\r\n\r\n{{}}"
     );
     let mut rest = request.as_bytes();
-    if habit == Habit::KeepsConnection {
+    if behaviour == ClientBehaviour::KeepsConnection {
         use_once(&mut stream)?;
     } else {
         let first;
@@ -156,22 +158,22 @@
     let arrived = Instant::now();
     let answer = read_to_end(&mut stream);
     // A router may close a connection between requests, though the next one is on its way.
-    let crossed_close = habit == Habit::KeepsConnection && answer.is_empty();
-    (!crossed_close).then(|| Exchange { habit, arrived, ended: Instant::now(), answer })
+    let crossed_close = behaviour == ClientBehaviour::KeepsConnection && answer.is_empty();
+    (!crossed_close).then(|| Exchange { behaviour, arrived, ended: Instant::now(), answer })
 }
 
 /// Starts the clients of a run. Those that connect before `stop` do so shortly before it.
 fn start_clients(router: SocketAddr, stop: Instant) -> Vec<JoinHandle<Option<Exchange>>> {
     let start_client = |number: usize| {
-        let (habit, connects_at) = match number % 3 {
-            0 => (Habit::WritesSlowly, stop - ms(50)),
-            1 => (Habit::ConnectsLate, stop + ms(200)),
-            _ => (Habit::KeepsConnection, stop - ms(100)),
+        let (behaviour, connects_at) = match number % 3 {
+            0 => (ClientBehaviour::WritesSlowly, stop - ms(50)),
+            1 => (ClientBehaviour::ConnectsLate, stop + ms(200)),
+            _ => (ClientBehaviour::KeepsConnection, stop - ms(100)),
         };
         let last_byte = stop + ms(50 + 100 * number as u64);
         spawn(move || {
             sleep_until(connects_at);
-            send_late(router, number, habit, last_byte)
+            send_late(router, number, behaviour, last_byte)
         })
     };
     (0..CLIENTS).map(start_client).collect()
@@ -255,9 +257,9 @@
             *totals.entry(format!("{when} {result}, resumes {}", plan.resumes)).or_default() += 1;
             // What arrived early is excused if SIGKILL cut it off, but not if the router did.
             if result == "cut off" && (when == "late" || ended_before_kill) {
-                let (habit, after) = (exchange.habit, exchange.arrived - signalled);
+                let (behaviour, after) = (exchange.behaviour, exchange.arrived - signalled);
                 lost.push(format!(
-                    "seed {seed}, {habit:?}, {after:?} after SIGTERM: {exchange:?} of {plan:?}"
+                    "seed {seed}, {behaviour:?}, {after:?} after SIGTERM: {exchange:?} of {plan:?}"
                 ));
             }
         }
