--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,29 @@
+//! Stand-ins and judges of the cases 6 to 10. `main CASE FOLDER` plays one case from the root of the
+//! repository and ends with 0, 1 or 2, as the case's `run.sh` does.
+
+#[allow(dead_code)]
+mod common;
+mod chat_engine;
+mod endless_answer;
+mod frozen_roles;
+mod platform;
+mod reload_during_change;
+mod second_answer;
+mod slow_reader;
+
+fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let folder = words.get(2).map_or("", String::as_str);
+    let code = match words.get(1).map(String::as_str) {
+        Some("reload-during-change") => reload_during_change::run(folder),
+        Some("slow-reader") => slow_reader::run(folder),
+        Some("second-answer") => second_answer::run(folder),
+        Some("endless-answer") => endless_answer::run(folder),
+        Some("frozen-roles") => frozen_roles::run(folder),
+        _ => {
+            eprintln!("expected the name of a case and its folder");
+            2
+        }
+    };
+    std::process::exit(code);
+}
