--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -19,6 +20,8 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn connect(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
+    fn bind(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
+    fn prctl(option: i32, argument: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 #[repr(C)]
@@ -122,6 +125,13 @@
         variables.iter().for_each(|(name, value)| {
             shell.env(name, value);
         });
+        // It ends with this process, also when that is killed. Processes are started by the main thread alone.
+        unsafe {
+            shell.pre_exec(|| {
+                prctl(1, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            });
+        }
         let child = shell.spawn().expect("a process");
         case.record.line(format!("started {name} (process {}): {command}", child.id()));
         Process { name: name.into(), child, log }
@@ -181,6 +191,20 @@
     }
 }
 
+/// The first of some consecutive loopback ports that are free.
+pub fn free_block(length: u16) -> SocketAddr {
+    loop {
+        let first = free_address();
+        let is_free = |n: u16| {
+            let port = first.port().checked_add(n);
+            port.is_some_and(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok())
+        };
+        if (0..length).all(is_free) {
+            return first;
+        }
+    }
+}
+
 /// An answer of an HTTP server.
 #[derive(Debug, Default, Clone)]
 pub struct Answer {
@@ -296,8 +320,9 @@
 }
 
 /// A connection like that of a client on an Ethernet link with a small receive buffer: segments of 1460
-/// bytes in place of the 64 KiB of the loopback interface.
-pub fn connect_as_remote(address: SocketAddr, receive_buffer: i32) -> Option<TcpStream> {
+/// bytes in place of the 64 KiB of the loopback interface, and from a loopback address of its own, for which
+/// the system has kept no figures of earlier connections.
+pub fn connect_as_remote(address: SocketAddr, from: Ipv4Addr, receive_buffer: i32) -> Option<TcpStream> {
     use std::os::fd::FromRawFd;
     let SocketAddr::V4(v4) = address else { return None };
     let target = SockAddrIn {
@@ -306,6 +331,7 @@
         address: v4.ip().octets(),
         zero: [0; 8],
     };
+    let source = SockAddrIn { family: 2, port: [0, 0], address: from.octets(), zero: [0; 8] };
     unsafe {
         let fd = socket(2, 1, 0);
         if fd < 0 {
@@ -316,6 +342,9 @@
         if setsockopt(fd, 6, 2, &mss, 4) != 0 || setsockopt(fd, 1, 8, &receive_buffer, 4) != 0 {
             return None;
         }
+        if bind(fd, &source, 16) != 0 {
+            return None;
+        }
         (connect(stream.as_raw_fd(), &target, 16) == 0).then_some(stream)
     }
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,8 +6,10 @@
 mod chat_engine;
 mod endless_answer;
 mod frozen_roles;
+mod half_requests;
 mod platform;
 mod reload_during_change;
+mod restart_with_old_file;
 mod second_answer;
 mod slow_reader;
 
@@ -20,6 +22,8 @@
         Some("second-answer") => second_answer::run(folder),
         Some("endless-answer") => endless_answer::run(folder),
         Some("frozen-roles") => frozen_roles::run(folder),
+        Some("restart-with-old-file") => restart_with_old_file::run(folder),
+        Some("half-requests") => half_requests::run(folder),
         _ => {
             eprintln!("expected the name of a case and its folder");
             2
--- a/review/stand-ins-2/slow_reader.rs
+++ b/review/stand-ins-2/slow_reader.rs
@@ -4,11 +4,11 @@
 use crate::common::*;
 use crate::platform::{self, Engine, Entry};
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-/// Tokens of the answer, one event each: some 200 KB, below the 256 KiB that a body may have.
-const TOKENS: usize = 2_400;
+/// Tokens of the answer, one event each: some 240 KB, below the 256 KiB that a body may have.
+const TOKENS: usize = 2_800;
 /// Bytes that the slow client reads at a time, and the pause after that: 16 KB a second.
 const PIECE: usize = 1_600;
 const PAUSE: u64 = 100;
@@ -22,8 +22,10 @@
 }
 
 /// Asks, and reads the answer in pieces until its last chunk or the end of the connection.
-fn play(record: &Record, address: SocketAddr, id: &str, closes: bool, slow: bool) -> Option<Read1> {
-    let mut stream = connect_as_remote(address, 8 << 10)?;
+fn play(record: &Record, address: SocketAddr, from: u8, id: &str, closes: bool, slow: bool) -> Option<Read1> {
+    let process = std::process::id().to_be_bytes();
+    let from = Ipv4Addr::new(127, 64 + process[2] % 64, process[3].max(1), from);
+    let mut stream = connect_as_remote(address, from, 4 << 10)?;
     let fields = if closes { "Connection: close\r\n" } else { "" };
     let began = Instant::now();
     stream.write_all(&platform::request(id, 7_500, TOKENS, fields)).ok()?;
@@ -77,7 +79,7 @@
     if !wait_until(Duration::from_secs(20), ready) {
         return case.could_not_run("the router was not ready within 20 s");
     }
-    let Some(control) = play(&record, address, "a000000000000001", true, false) else {
+    let Some(control) = play(&record, address, 2, "a000000000000001", true, false) else {
         return case.could_not_run("no answer to the first request");
     };
     if !control.whole {
@@ -86,13 +88,13 @@
     let (mut lost, mut played) = (0, 1);
     if case.trouble {
         // The same client on a connection that stays open: the router does not cut it off for its rate.
-        let kept = play(&record, address, "a000000000000002", false, true);
+        let kept = play(&record, address, 3, "a000000000000002", false, true);
         record.say(format!("on a connection that stays open the slow client's answer is whole: {}", kept.is_some_and(|read| read.whole)));
     }
-    let clients: Vec<_> = (0..3)
+    let clients: Vec<_> = (0..6)
         .map(|n| {
             let (record, trouble) = (record.clone(), case.trouble);
-            std::thread::spawn(move || play(&record, address, &format!("b00000000000000{n}"), true, trouble))
+            std::thread::spawn(move || play(&record, address, 10 + n, &format!("b00000000000000{n}"), true, trouble))
         })
         .collect();
     for client in clients {
