--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -8,6 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -180,12 +181,14 @@
     line["run = ".len()..].trim().trim_matches('"').to_owned()
 }
 
-/// A loopback port that neither TCP nor UDP uses.
+/// A loopback address whose port neither TCP nor UDP uses. It lies below the ports that the system gives to
+/// clients, so that none of them takes it while its process is down.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
-        let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)) else { continue };
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 137;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 20_000 + (n % 12_000) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -194,13 +197,9 @@
 /// The first of some consecutive loopback ports that are free.
 pub fn free_block(length: u16) -> SocketAddr {
     loop {
-        let first = free_address();
-        let is_free = |n: u16| {
-            let port = first.port().checked_add(n);
-            port.is_some_and(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok())
-        };
-        if (0..length).all(is_free) {
-            return first;
+        let block: Vec<SocketAddr> = (0..length).map(|_| free_address()).collect();
+        if block.windows(2).all(|pair| pair[1].port() == pair[0].port() + 1) {
+            return block[0];
         }
     }
 }
