--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,6 +7,7 @@
 mod endless_answer;
 mod frozen_roles;
 mod half_requests;
+mod lost_decision;
 mod orders;
 mod platform;
 mod reload_during_change;
@@ -26,6 +27,7 @@
         Some("restart-with-old-file") => restart_with_old_file::run(folder),
         Some("half-requests") => half_requests::run(folder),
         Some("orders") => orders::run(folder),
+        Some("lost-decision") => lost_decision::run(folder),
         _ => {
             eprintln!("expected the name of a case and its folder");
             2
