--- a/review/stand-ins-2/lost_decision.rs
+++ b/review/stand-ins-2/lost_decision.rs
@@ -121,7 +121,7 @@
     let (clients, operators, fleet) = (addresses(), addresses(), addresses());
     let still: Vec<Arc<AtomicBool>> = (0..ROUTERS).map(|_| Arc::default()).collect();
     let relay = relays(&fleet, &still);
-    let routers: Vec<Process> = (0..ROUTERS)
+    let mut routers: Vec<Process> = (0..ROUTERS)
         .map(|at| {
             let others: Vec<usize> = (0..ROUTERS).filter(|other| *other != at).collect();
             let book: String = others.iter().map(|other| format!("r{other} = {}\n", relay[at][*other])).collect();
@@ -185,7 +185,8 @@
         (0..ROUTERS).for_each(|at| record.say(format!("policy status of r{at}: {}", tell(at))));
         let left = Duration::from_secs(105).saturating_sub(record.elapsed()).min(Duration::from_secs(30));
         std::thread::sleep(left);
-        record.say(format!("{:.0} s later: answers {:?}; processes that have ended: {}", left.as_secs_f64(), statuses(), 0));
+        let ended = routers.iter_mut().filter_map(|router| router.has_ended().then(|| router.name.clone())).count();
+        record.say(format!("{:.0} s later: answers {:?}; routers that have ended: {ended}", left.as_secs_f64(), statuses()));
     }
     record.say(format!("{n} changes, exit codes of `policy propose`: {ends:?}; the leader's connections stood still {stills} times"));
     for (at, router) in routers.iter().enumerate() {
