A request that is over keeps no copy of its body until its attempt ends

What callers saw: nothing by itself. The memory of a router grew beyond the quarter that is for requests: where attempts can't be cancelled, or an engine hangs, clients that send a body of 256 KiB and leave each left it behind until the attempt ended.

Cause: ActiveRequests::close took the body's size off the sum that check_admissible compares with the limit, but the body stayed in ActiveRequest until remove_done, which waits for the attempts in flight.

Change: method, target, fields and body for engines are one value, ForwardedMessage, which is dropped when the request is closed or its stream begins: it is never sent again. Its whole size counts, not the body's alone. A request without a message is not sent: the attempt ends as not tried.

Result: a_request_that_is_over_keeps_no_memory_for_further_attempts passes; with the drop in close taken out it fails (a message of the closed request is still there).

--- a/crates/platform/src/active_requests.rs
+++ b/crates/platform/src/active_requests.rs
@@ -16,7 +16,7 @@
     recently_forwarded: RecentIds,
     /// Requests that were closed or had an attempt end: [`ActiveRequests::remove_done`] checks these.
     maybe_done: Vec<RequestId>,
-    /// Bytes of bodies that are held for further attempts.
+    /// Memory of the messages that are held for further attempts, in bytes.
     held_bytes: usize,
     last_id: u64,
 }
@@ -99,13 +99,13 @@
         self.recently_forwarded.contains(now, client_id)
     }
 
-    /// Bytes of bodies that are held for further attempts.
+    /// Memory of the messages that are held for further attempts, in bytes.
     pub(crate) fn held_bytes(&self) -> usize {
         self.held_bytes
     }
 
     /// Records that an attempt's stream begins. The client receives part of the answer, so the request is
-    /// never sent again and its body is dropped.
+    /// never sent again and its message is dropped.
     pub(crate) fn begin_stream(&mut self, id: RequestId, attempt: usize) -> Option<&ActiveRequest> {
         let request = self.by_id.get_mut(&id)?;
         self.held_bytes = self.held_bytes.saturating_sub(request.held_bytes());
@@ -116,12 +116,11 @@
     /// Closes a request: it has its final answer, or its client has left.
     pub(crate) fn close(&mut self, id: RequestId) {
         let Some(request) = self.by_id.get_mut(&id) else { return };
+        let held_bytes = request.held_bytes();
         if !request.close() {
             return;
         }
-        if request.streaming_attempt().is_none() {
-            self.held_bytes = self.held_bytes.saturating_sub(request.held_bytes());
-        }
+        self.held_bytes = self.held_bytes.saturating_sub(held_bytes);
         self.by_client_id.remove(request.client_id());
         self.maybe_done.push(id);
     }
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -55,7 +55,9 @@
         };
         let (addr, is_prefill) = (endpoint.addr, endpoint.role == Role::Prefill);
         let attempt = request.begin_attempt(now, engine, is_prefill);
-        let bytes = request.message(now, addr);
+        let Some(bytes) = request.message(now, addr) else {
+            return self.attempt_ended(id, attempt, AttemptEnd::never_ran(NeverRan::NotTried));
+        };
         let holds_last_byte = request.params().at_most_once && !is_prefill;
         let prefill_engine = request.prefill_engine().filter(|_| !is_prefill);
         let prompt_tokens = request.params().prompt_tokens;
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -32,8 +32,9 @@
             return;
         };
         if let ConnectionPurpose::Attempt { request, .. } = connection.purpose() {
-            if let Some(request) = self.requests.get(request) {
-                connection.replace_request(request.message(now, connection.addr()));
+            let request = self.requests.get(request);
+            if let Some(message) = request.and_then(|request| request.message(now, connection.addr())) {
+                connection.replace_request(message);
             }
         }
         out.push(Output::Write(conn, connection.connected(now)));
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -13,9 +13,32 @@
 /// The header fields that are forwarded to engines: the type of the body, and the idempotency key.
 const FORWARDED_FIELDS: [&str; 2] = ["content-type", "idempotency-key"];
 
-fn forwarded_fields(received: &ReceivedRequest) -> Vec<(&'static str, String)> {
-    let field = |name: &'static str| Some((name, received.head.get(name)?.to_owned()));
-    FORWARDED_FIELDS.into_iter().filter_map(field).collect()
+/// What engines receive of a request. Kept while a further attempt may send it.
+#[derive(Debug)]
+struct ForwardedMessage {
+    method: String,
+    target: String,
+    /// Header fields that are forwarded unchanged.
+    fields: Vec<(&'static str, String)>,
+    body: Vec<u8>,
+}
+
+impl ForwardedMessage {
+    fn new(received: ReceivedRequest) -> Self {
+        let field = |name: &'static str| Some((name, received.head.get(name)?.to_owned()));
+        ForwardedMessage {
+            method: received.method().to_owned(),
+            target: received.target().to_owned(),
+            fields: FORWARDED_FIELDS.into_iter().filter_map(field).collect(),
+            body: received.body,
+        }
+    }
+
+    /// Memory that it takes, in bytes.
+    fn size(&self) -> usize {
+        let fields: usize = self.fields.iter().map(|(_, value)| value.len()).sum();
+        self.method.len() + self.target.len() + fields + self.body.len()
+    }
 }
 
 /// The text of an outcome in the log. `slipreel losses` groups requests by these words.
@@ -100,11 +123,8 @@
     /// The connection of its client.
     client_conn: ConnId,
     params: RequestParams,
-    method: String,
-    target: String,
-    /// Header fields that are forwarded to engines unchanged.
-    forwarded: Vec<(&'static str, String)>,
-    body: Vec<u8>,
+    /// `None` once no further attempt can follow.
+    message: Option<ForwardedMessage>,
     attempts: Vec<Attempt>,
     /// The attempt whose stream is forwarded to the client.
     streaming_attempt: Option<usize>,
@@ -124,10 +144,7 @@
             client_id,
             client_conn,
             params,
-            method: received.method().to_owned(),
-            target: received.target().to_owned(),
-            forwarded: forwarded_fields(&received),
-            body: received.body,
+            message: Some(ForwardedMessage::new(received)),
             attempts: Vec::new(),
             streaming_attempt: None,
             is_closed: false,
@@ -181,9 +198,10 @@
         self.is_closed
     }
 
-    /// Closes the request: it has its final answer, or needs none any more. Returns whether it was open
-    /// before.
+    /// Closes the request: it has its final answer, or needs none any more. It is never sent again, so its
+    /// message is dropped, although an attempt may still be in flight. Returns whether it was open before.
     pub(crate) fn close(&mut self) -> bool {
+        self.message = None;
         !std::mem::replace(&mut self.is_closed, true)
     }
 
@@ -202,9 +220,9 @@
         self.attempts.get(self.streaming_attempt?)?.conn
     }
 
-    /// Bytes of the body, held for further attempts.
+    /// Memory that its message takes, which is held for further attempts, in bytes.
     pub(crate) fn held_bytes(&self) -> usize {
-        self.body.len()
+        self.message.as_ref().map_or(0, ForwardedMessage::size)
     }
 
     /// Adds an attempt and returns its number.
@@ -222,18 +240,20 @@
         self.attempts.len() - 1
     }
 
-    /// The bytes of the request to an engine. They state the time left until the deadline at `now`, as a
-    /// connection may take long to be established.
-    pub(crate) fn message(&self, now: Duration, addr: SocketAddr) -> Vec<u8> {
+    /// The bytes of the request to an engine; `None` if the request is not sent again. They state the time
+    /// left until the deadline at `now`, as a connection may take long to be established.
+    pub(crate) fn message(&self, now: Duration, addr: SocketAddr) -> Option<Vec<u8>> {
+        let message = self.message.as_ref()?;
         let left = self.params.deadline.saturating_sub(now).as_micros();
         let (host, left) = (addr.to_string(), format!("{left}u"));
         let mut fields =
             vec![("host", host.as_str()), ("x-request-id", &self.client_id), ("x-deadline", &left)];
-        fields.extend(self.forwarded.iter().map(|(name, value)| (*name, value.as_str())));
-        let mut bytes =
-            http::request_head(&self.method, &self.target, &fields, Framing::Length(self.body.len()));
-        bytes.extend_from_slice(&self.body);
-        bytes
+        fields.extend(message.fields.iter().map(|(name, value)| (*name, value.as_str())));
+        let framing = Framing::Length(message.body.len());
+        let mut bytes = http::request_head(&message.method, &message.target, &fields, framing);
+        bytes.reserve_exact(message.body.len());
+        bytes.extend_from_slice(&message.body);
+        Some(bytes)
     }
 
     /// Records the end of an attempt. If it provably never ran, its engine holds no state for it.
@@ -250,7 +270,7 @@
     pub(crate) fn begin_stream(&mut self, attempt: usize) {
         self.streaming_attempt = Some(attempt);
         // A request whose client has received part of the answer is never retried.
-        self.body = Vec::new();
+        self.message = None;
         if let Some(prefill) = self.attempts[..attempt].iter_mut().rfind(|attempt| attempt.may_hold_state) {
             prefill.may_hold_state = false;
         }
@@ -329,3 +349,6 @@
         self.is_closed && self.attempts.iter().all(|attempt| !attempt.in_flight)
     }
 }
+
+#[cfg(test)]
+mod tests;
