One limit on all buffers: incomplete requests can't drive a router over its memory

Cause: only the bodies of complete requests were counted (request_bytes, check_admissible). The number of connections comes from the descriptors, and each had bounds of its own: 256 KiB of a body that is being received (ClientConnection::receive), 64 KiB and one event that a client does not read, 64 KiB of an event that an engine does not end. Their sums were bounded by nothing.

Change: after each input the router counts what all buffers take (BufferSizes measures the connections that have changed), and keeps the sum within half of memory_mb. Over it, the incomplete request that has cost most memory, its size times its age, gets 503 and its connection ends; a complete request takes precedence over incomplete ones. Above three quarters of that, streams are read from engines only as fast as clients read them, and pipelining pauses. If no request is incomplete and the sum is still over, the connection with the largest buffers ends. An object from discovery may take a sixteenth of the memory, 4 MiB at most. The status line shows "buffered bytes"; a line says when the limit was exceeded. A request turned away for want of memory counted twice, and counts once now.

--- a/crates/connections/src/client.rs
+++ b/crates/connections/src/client.rs
@@ -3,6 +3,7 @@
 //! The owner of a connection sets its timeouts by its state. Pipelined requests wait in the decoder until the
 //! response to the request before them is complete.
 
+use crate::body_buffer::BodyBuffer;
 use slipreel_protocol::http::{self, Decoder, Framing, Head, Item, Limits, Malformed, Side, Start};
 use slipreel_state_machine::{ConnId, ListenerId, Output};
 use std::collections::VecDeque;
@@ -72,7 +73,9 @@
     pub state: ClientState,
     decoder: Decoder,
     head: Option<Head>,
-    body: Vec<u8>,
+    /// Memory that `head` takes, in bytes.
+    head_size: usize,
+    body: BodyBuffer,
     /// Whether the connection stays open after the current response.
     keeps_alive: bool,
     /// Bytes that were written, but not sent by the driver yet.
@@ -104,7 +107,8 @@
             state: ClientState::Idle,
             decoder: Decoder::new(Side::Server, limits),
             head: None,
-            body: Vec::new(),
+            head_size: 0,
+            body: BodyBuffer::default(),
             keeps_alive: true,
             unsent: 0,
             last_sent_at: now,
@@ -124,13 +128,23 @@
         if self.state == ClientState::Idle {
             (self.state, self.since) = (ClientState::Receiving, now);
         }
+        self.pause_pipelining(self.max_pipelined_bytes, out);
+    }
+
+    /// Pauses reading while a request is served and more than `max_bytes` of the requests after it wait.
+    pub fn pause_pipelining(&mut self, max_bytes: usize, out: &mut Vec<Output>) {
         let serving = matches!(self.state, ClientState::Serving(_));
-        if serving && !self.paused && self.decoder.buffered() > self.max_pipelined_bytes {
+        if serving && !self.paused && self.decoder.buffered() > max_bytes {
             self.paused = true;
             out.push(Output::Pause(self.conn));
         }
     }
 
+    /// Memory that received bytes take which are not part of a complete request yet, in bytes.
+    pub fn received_size(&self) -> usize {
+        self.decoder.capacity() + self.head_size + self.body.capacity()
+    }
+
     fn record_arrival(&mut self, now: Duration, length: usize) {
         self.received_bytes += length as u64;
         let is_full = self.arrivals.len() >= MAX_ARRIVALS;
@@ -149,6 +163,11 @@
         self.arrivals.front().map(|&(_, at)| at)
     }
 
+    /// Memory that all its buffers take, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.received_size() + self.unsent
+    }
+
     /// The next complete request, if the bytes received so far contain one and no request is being served.
     ///
     /// # Errors
@@ -167,14 +186,17 @@
                     if head.expects_continue && head.http11 && self.decoder.buffered() == 0 {
                         self.write(http::CONTINUE.to_vec(), out);
                     }
+                    self.head_size = head.size();
                     self.head = Some(head);
                 }
-                Item::Body(piece) => self.body.extend_from_slice(&piece),
+                Item::Body(piece) => self.body.push(&piece),
                 Item::End => {
                     let Some(head) = self.head.take() else { continue };
+                    self.head_size = 0;
                     (self.state, self.since) = (ClientState::Serving(None), now);
                     let arrived = self.last_consumed_arrival().unwrap_or(now);
-                    return Ok(Some(ReceivedRequest { head, body: std::mem::take(&mut self.body), arrived }));
+                    let body = self.body.take();
+                    return Ok(Some(ReceivedRequest { head, body, arrived }));
                 }
             }
         }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`TimerWheel`]: the timers of one router;
 //! - [`ConnectionMap`]: the open connections of one kind, each with one timer;
+//! - [`BufferSizes`]: the memory that the buffers of connections take together;
 //! - [`ClientConnection`]: the server side of a client connection;
 //! - [`Pool`]: selects the connection for the next exchange with an engine;
 //! - [`ReuseHistory`]: decides whether idle connections are reused;
@@ -11,6 +12,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod body_buffer;
+mod buffer_sizes;
 mod client;
 mod connection_map;
 mod connection_timers;
@@ -19,6 +22,7 @@
 mod reuse_history;
 mod timer_wheel;
 
+pub use buffer_sizes::BufferSizes;
 pub use client::{ClientConnection, ClientState, ReceivedRequest};
 pub use connection_map::ConnectionMap;
 pub use pool::{Pool, Purpose, Slot};
--- a/crates/platform/src/client_connections.rs
+++ b/crates/platform/src/client_connections.rs
@@ -2,8 +2,9 @@
 
 use crate::resource_limits::ResourceLimits;
 use crate::timer::{Timer, Timers};
-use slipreel_connections::{ClientConnection, ClientState, ConnectionMap};
+use slipreel_connections::{BufferSizes, ClientConnection, ClientState, ConnectionMap};
 use slipreel_state_machine::ConnId;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -44,12 +45,14 @@
     by_id: ConnectionMap<ClientConnection>,
     /// Connections whose first request is incomplete, with the time at which they were accepted.
     awaiting_first_request: HashMap<ConnId, Duration>,
+    buffer_sizes: BufferSizes,
 }
 
 impl ClientConnections {
     /// Adds a connection that was just accepted.
     pub(crate) fn insert(&mut self, client: ClientConnection, now: Duration) {
         self.awaiting_first_request.insert(client.conn, now);
+        self.buffer_sizes.mark_changed(client.conn);
         self.by_id.insert(client.conn, client);
     }
 
@@ -58,6 +61,7 @@
     }
 
     pub(crate) fn get_mut(&mut self, conn: ConnId) -> Option<&mut ClientConnection> {
+        self.buffer_sizes.mark_changed(conn);
         self.by_id.get_mut(conn)
     }
 
@@ -75,6 +79,7 @@
 
     /// Removes a connection and its timer.
     pub(crate) fn remove(&mut self, conn: ConnId, timers: &mut Timers) {
+        self.buffer_sizes.mark_changed(conn);
         self.by_id.remove(conn, timers);
         self.awaiting_first_request.remove(&conn);
     }
@@ -130,6 +135,29 @@
         }
     }
 
+    /// Memory that the buffers of all connections take, in bytes.
+    pub(crate) fn buffered_bytes(&mut self) -> usize {
+        let by_id = &self.by_id;
+        self.buffer_sizes.total(|conn| by_id.get(conn).map_or(0, ClientConnection::buffered_bytes))
+    }
+
+    /// The connection whose incomplete request has cost most memory so far: its size times its age. Most
+    /// requests are complete within milliseconds, so this is one whose client has stopped sending, or sends
+    /// slowly. `None` if no request is incomplete.
+    pub(crate) fn costliest_incomplete_request(&self, now: Duration) -> Option<ConnId> {
+        let receiving = self.by_id.values().filter(|client| client.state == ClientState::Receiving);
+        let cost = |client: &ClientConnection| {
+            let age = now.saturating_sub(client.since).as_micros();
+            (age * client.received_size() as u128, client.received_size(), Reverse(client.conn))
+        };
+        receiving.max_by_key(|client| cost(client)).map(|client| client.conn)
+    }
+
+    /// The connection whose buffers take most memory, and how many bytes they take.
+    pub(crate) fn largest_buffers(&self) -> Option<(usize, ConnId)> {
+        self.by_id.values().map(|client| (client.buffered_bytes(), client.conn)).max()
+    }
+
     /// When a connection times out; `None` if it has no timeout in its present state.
     pub(crate) fn deadline(&self, conn: ConnId, limits: &ResourceLimits) -> Option<Duration> {
         let client = self.by_id.get(conn)?;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -51,8 +51,7 @@
         if client.state == ClientState::Receiving {
             // The rest of its request may be in transit, so the request is answered before the connection is
             // closed.
-            client.close_after_answer();
-            self.reject(conn, &RequestError::Evicted, out);
+            self.reject_and_close(conn, &RequestError::Evicted, out);
             return true;
         }
         self.counters.rejected_before_admission += 1;
@@ -71,11 +70,20 @@
         let previous_state = client.state;
         client.feed(now, bytes, out);
         self.read_requests(conn, out);
+        self.limit_pipelining(conn, out);
         if self.clients.get(conn).is_some_and(|client| client.state != previous_state) {
             self.arm_client_timer(conn);
         }
     }
 
+    /// Pauses reading from a client that pipelines requests while memory is scarce.
+    fn limit_pipelining(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let is_scarce = self.memory_is_scarce;
+        if let Some(client) = self.clients.get_mut(conn).filter(|_| is_scarce) {
+            client.pause_pipelining(0, out);
+        }
+    }
+
     /// Handles the complete requests that were received, each after the previous one was answered.
     fn read_requests(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         loop {
@@ -88,8 +96,7 @@
                     self.route(conn, received, out);
                 }
                 Err(malformed) => {
-                    client.close_after_answer();
-                    return self.reject(conn, &RequestError::Malformed(malformed), out);
+                    return self.reject_and_close(conn, &RequestError::Malformed(malformed), out);
                 }
             }
         }
@@ -109,18 +116,16 @@
 
     /// Admits a request, or rejects it without involving the decision module.
     fn admit(&mut self, conn: ConnId, received: ReceivedRequest, out: &mut Vec<Output>) {
-        match self.check_admissible(&received) {
+        match self.check_admissible(&received, out) {
             Ok(parsed) => self.start_request(conn, parsed, received),
-            Err(error) => {
-                // `reject` counts the request as well, so out of memory counts twice.
-                self.counters.rejected_before_admission += u64::from(error == RequestError::OutOfMemory);
-                self.reject(conn, &error, out);
-            }
+            Err(error) => self.reject(conn, &error, out),
         }
     }
 
     /// Parses a request and checks whether this router may take it now.
-    fn check_admissible(&mut self, received: &ReceivedRequest) -> Result<ParsedRequest, RequestError> {
+    fn check_admissible(
+        &mut self, received: &ReceivedRequest, out: &mut Vec<Output>,
+    ) -> Result<ParsedRequest, RequestError> {
         let parsed = parse_request::parse(&self.profile, received)?;
         if !self.shutdown.admits_requests(self.now) {
             return Err(RequestError::ShuttingDown);
@@ -132,7 +137,11 @@
         if self.requests.was_forwarded(self.now, &parsed.client_id) {
             return Err(RequestError::IdRecentlyForwarded);
         }
-        if self.requests.held_bytes() + received.body.len() > self.resource_limits.request_bytes {
+        // The request, and its copy for the attempt in flight.
+        let size = received.body.len();
+        let has_memory = self.requests.held_bytes() + size <= self.resource_limits.request_bytes
+            && self.reserve_memory(2 * size, out);
+        if !has_memory {
             return Err(RequestError::OutOfMemory);
         }
         Ok(parsed)
@@ -210,10 +219,7 @@
     pub(crate) fn client_timed_out(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         let Some(client) = self.clients.get_mut(conn) else { return };
         match client.state {
-            ClientState::Receiving => {
-                client.close_after_answer();
-                self.reject(conn, &RequestError::ReceiveTimeout, out);
-            }
+            ClientState::Receiving => self.reject_and_close(conn, &RequestError::ReceiveTimeout, out),
             ClientState::Idle => {
                 out.push(Output::CloseWhenSent(conn));
                 self.clients.remove(conn, &mut self.timers);
@@ -235,6 +241,14 @@
         self.answer(conn, error.status(), &[], body.as_bytes(), out);
     }
 
+    /// Answers a request that can't be received completely, and closes its connection.
+    pub(crate) fn reject_and_close(&mut self, conn: ConnId, error: &RequestError, out: &mut Vec<Output>) {
+        if let Some(client) = self.clients.get_mut(conn) {
+            client.close_after_answer();
+        }
+        self.reject(conn, error, out);
+    }
+
     /// Writes a complete answer.
     fn answer(
         &mut self, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &[u8], out: &mut Vec<Output>,
--- a/crates/platform/src/engine_connection.rs
+++ b/crates/platform/src/engine_connection.rs
@@ -217,6 +217,16 @@
         self.unsent = self.unsent.saturating_sub(sent);
     }
 
+    /// Memory that the received part of a response takes, in bytes.
+    pub(crate) fn response_bytes(&self) -> usize {
+        self.response.buffered_bytes()
+    }
+
+    /// Memory that its buffers take, in bytes: the unsent part of the request, and the response.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.unsent + self.response_bytes()
+    }
+
     pub(crate) fn is_paused(&self) -> bool {
         self.paused
     }
--- a/crates/platform/src/engine_connections.rs
+++ b/crates/platform/src/engine_connections.rs
@@ -4,7 +4,7 @@
 use crate::engine_connection::{ConnectionPurpose, EngineConnection, State};
 use crate::timer::{Timer, Timers};
 use slipreel::EngineId;
-use slipreel_connections::{ConnectionMap, Pool, Purpose, ReuseHistory, Slot};
+use slipreel_connections::{BufferSizes, ConnectionMap, Pool, Purpose, ReuseHistory, Slot};
 use slipreel_state_machine::ConnId;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -25,6 +25,7 @@
     pool: Pool,
     reuse_history: ReuseHistory,
     last_id: u64,
+    buffer_sizes: BufferSizes,
 }
 
 impl EngineConnections {
@@ -35,6 +36,7 @@
     }
 
     pub(crate) fn insert(&mut self, connection: EngineConnection) {
+        self.buffer_sizes.mark_changed(connection.conn());
         self.by_id.insert(connection.conn(), connection);
     }
 
@@ -43,11 +45,13 @@
     }
 
     pub(crate) fn get_mut(&mut self, conn: ConnId) -> Option<&mut EngineConnection> {
+        self.buffer_sizes.mark_changed(conn);
         self.by_id.get_mut(conn)
     }
 
     /// Removes a connection, its timer and its slot in the pool.
     pub(crate) fn remove(&mut self, conn: ConnId, timers: &mut Timers) -> Option<EngineConnection> {
+        self.buffer_sizes.mark_changed(conn);
         let connection = self.by_id.remove(conn, timers)?;
         self.pool.remove(connection.engine(), conn);
         Some(connection)
@@ -57,6 +61,17 @@
         self.by_id.len()
     }
 
+    /// Memory that the buffers of all connections take, in bytes.
+    pub(crate) fn buffered_bytes(&mut self) -> usize {
+        let by_id = &self.by_id;
+        self.buffer_sizes.total(|conn| by_id.get(conn).map_or(0, EngineConnection::buffered_bytes))
+    }
+
+    /// The connection whose response takes most memory, and how many bytes it takes.
+    pub(crate) fn largest_response(&self) -> Option<(usize, ConnId)> {
+        self.by_id.values().map(|connection| (connection.response_bytes(), connection.conn())).max()
+    }
+
     /// Number of connections that carry an exchange or are being opened for one.
     pub(crate) fn busy_count(&self) -> usize {
         self.by_id.values().filter(|connection| connection.state() != State::Idle).count()
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -345,9 +345,10 @@
         let client = request.client_conn();
         let Some(unsent) = self.clients.get(client).map(|client| client.unsent) else { return };
         let now = self.now;
+        let max_unsent = if self.memory_is_scarce { 0 } else { MAX_UNSENT_BYTES };
         let Some(connection) = self.engines.get_mut(conn) else { return };
         // Hysteresis, so that a client that reads steadily does not toggle the connection with each write.
-        let limit = if connection.is_paused() { MAX_UNSENT_BYTES / 2 } else { MAX_UNSENT_BYTES };
+        let limit = if connection.is_paused() { max_unsent / 2 } else { max_unsent };
         let should_pause = unsent > limit;
         if should_pause != connection.is_paused() {
             connection.set_paused(should_pause, now);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,6 +22,7 @@
 //!   ids;
 //! - `endpoints` and `watch`: the listed engines, and the connection to discovery that keeps the list up to
 //!   date;
+//! - `memory`: keeps the memory that buffers take within its limit;
 //! - `shutdown`, `decisions` (the module and its queue of events), `counters`, `log_limiter` (which limits
 //!   the `log_event`s that are written), and `resource_limits`.
 //!
@@ -51,6 +52,7 @@
 mod load_report;
 mod log_event;
 mod log_limiter;
+mod memory;
 mod parse_request;
 mod proof;
 mod recent_ids;
--- a/crates/platform/src/log_event.rs
+++ b/crates/platform/src/log_event.rs
@@ -51,6 +51,8 @@
     UnknownEngineKind { engine: String, kind: String },
     /// The watch of the endpoint list failed; it is opened again.
     WatchFailed(WatchFailure),
+    /// Buffers took more memory than their limit, in bytes.
+    MemoryLimitExceeded { held: usize, limit: usize },
     /// The configuration file was replaced.
     ConfigReloaded { discovery: SocketAddr },
     /// An event of the decision module.
@@ -129,6 +131,9 @@
                 write!(f, "engine {engine}: type {kind:?} is none of the settings; passed over")
             }
             LogEvent::WatchFailed(failure) => write!(f, "the watch of the list ends: {failure}"),
+            LogEvent::MemoryLimitExceeded { held, limit } => {
+                write!(f, "buffers over their limit: buffered_bytes={held} limit_bytes={limit}")
+            }
             LogEvent::ConfigReloaded { discovery } => {
                 write!(f, "the configuration was read again; discovery is at {discovery}")
             }
@@ -146,14 +151,15 @@
         write!(
             f,
             "clients {}, requests {}, connections to engines {} ({busy_engine_connections} busy), engines {engines}, \
-             timers {}, releases {}, module keeps {:?}; {counters}; longest held state {longest_held_ms} ms, \
-             release lines suppressed {suppressed}",
+             timers {}, releases {}, module keeps {:?}; {counters}; buffered bytes {}; \
+             longest held state {longest_held_ms} ms, release lines suppressed {suppressed}",
             held.client_connections,
             held.requests,
             held.engine_connections,
             held.timers,
             held.releases,
             (decision_module.requests, decision_module.timers, decision_module.engines),
+            held.buffered_bytes,
         )
     }
 }
--- a/crates/platform/src/log_event/tests.rs
+++ b/crates/platform/src/log_event/tests.rs
@@ -75,6 +75,7 @@
             requests: 27,
             timers: 90,
             releases: 2,
+            buffered_bytes: 52_000,
         },
         busy_engine_connections: 27,
         engines: 17,
@@ -87,9 +88,17 @@
                     releases 2, module keeps (27, 5, 17); Tally { taken: 9, served: 0,";
     let text = LogEvent::Status(Box::new(status)).to_string();
     assert_eq!(text.get(..expected.len()), Some(expected));
+    assert!(text.contains("; buffered bytes 52000; "), "{text}");
     assert!(text.ends_with("; longest held state 130 ms, release lines suppressed 4"), "{text}");
 }
 
+#[test]
+fn the_line_on_the_memory_limit_names_what_is_held_and_the_limit() {
+    let exceeded = LogEvent::MemoryLimitExceeded { held: 41_950_000, limit: 41_943_040 };
+    let expected = "buffers over their limit: buffered_bytes=41950000 limit_bytes=41943040";
+    assert_eq!(exceeded.to_string(), expected);
+}
+
 #[test]
 fn lines_on_releases_name_request_engine_time_and_reason() {
     let (request_id, engine) = ("9b1f".to_owned(), "s-1".to_owned());
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -10,6 +10,8 @@
 const MAX_STREAM_BYTES: u64 = 1 << 20;
 /// Maximum size of an event of a stream, and of an answer that is not a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Capacity of a stream's buffer above which it is given back once its events are complete, in bytes.
+const MAX_SPARE_BYTES: usize = 4 << 10;
 /// Maximum number of bytes that are logged of an unexpected line in a stream.
 const MAX_LOGGED_LINE_BYTES: usize = 40;
 
@@ -147,6 +149,16 @@
         self.keeps_alive && self.decoder.buffered() == 0
     }
 
+    /// Memory that the received part of a response takes, in bytes.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        let body = match &self.body {
+            Body::None => 0,
+            Body::Answer(answer) => answer.body.capacity(),
+            Body::Stream(buffered) => buffered.capacity(),
+        };
+        self.decoder.capacity() + body
+    }
+
     /// Number of malformed load reports since the last call.
     pub(crate) fn take_malformed_reports(&mut self) -> u64 {
         std::mem::take(&mut self.reports.malformed)
@@ -287,6 +299,9 @@
         start = end;
     }
     buffered.drain(..start);
+    if buffered.capacity() > MAX_SPARE_BYTES {
+        buffered.shrink_to_fit();
+    }
     Ok(())
 }
 
--- a/crates/platform/src/router.rs
+++ b/crates/platform/src/router.rs
@@ -49,6 +49,10 @@
     pub(crate) never_ran_log: LineBudget,
     pub(crate) release_log: LineBudget,
     log_limiter: LogLimiter,
+    /// Memory that buffers took after the last input, in bytes.
+    pub(crate) buffered_bytes: usize,
+    /// Whether streams are read from engines only as fast as clients read them, to save memory.
+    pub(crate) memory_is_scarce: bool,
 }
 
 /// How much state a router holds, by kind.
@@ -64,6 +68,8 @@
     pub timers: usize,
     /// Unacknowledged releases.
     pub releases: usize,
+    /// Memory of the buffers of connections and requests, in bytes.
+    pub buffered_bytes: usize,
 }
 
 impl PlatformRouter {
@@ -77,7 +83,7 @@
             engine_timeouts: EngineTimeouts::new(&profile),
             decisions: Decisions::new(&profile.settings, seed),
             endpoints: Endpoints::new(&profile, now, wall),
-            watch: Watch::new(discovery, now, seed),
+            watch: Watch::new(discovery, resource_limits.list_object_bytes, now, seed),
             clients: ClientConnections::default(),
             engines: EngineConnections::default(),
             requests: ActiveRequests::default(),
@@ -88,6 +94,8 @@
             never_ran_log: LineBudget::default(),
             release_log: LineBudget::default(),
             log_limiter: LogLimiter::default(),
+            buffered_bytes: 0,
+            memory_is_scarce: false,
             profile,
         };
         if let Some(list) = cached_endpoints {
@@ -113,6 +121,7 @@
             requests: self.requests.len(),
             timers: self.timers.len(),
             releases: self.releases.len(),
+            buffered_bytes: self.buffered_bytes,
         }
     }
 
@@ -243,6 +252,28 @@
 
     // ---- Inputs -----------------------------------------------------------------------------
 
+    /// Handles an input and the timers that are due, in the order that loses nothing.
+    fn handle_input_and_timers(&mut self, input: &Input<'_>, out: &mut Vec<Output>) {
+        // The driver passes on the connections that were pending at the listener before it wakes the router.
+        // If the router ended between the two, nothing would serve these connections.
+        if matches!(input, Input::Wake) {
+            self.shutdown.pending_connections_received();
+        }
+        // Bytes from a client are handled before timers: the driver has already read them, so neither the
+        // idle timeout nor the end of a shutdown may close the connection as idle first.
+        if let Input::Data(conn, bytes) = *input {
+            if !conn.is_opened() {
+                self.client_data(conn, bytes, out);
+                self.run_decisions(out);
+                return self.run_timers(out);
+            }
+        }
+        // For all other inputs, due timers come first, in whatever order the driver found them.
+        self.run_timers(out);
+        self.handle_input(input, out);
+        self.run_decisions(out);
+    }
+
     /// Handles an input of any kind, after the timers that were due.
     fn handle_input(&mut self, input: &Input<'_>, out: &mut Vec<Output>) {
         match *input {
@@ -315,24 +346,8 @@
 impl Machine for PlatformRouter {
     fn handle(&mut self, now: Duration, input: Input<'_>, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        // The driver passes on the connections that were pending at the listener before it wakes the router.
-        // If the router ended between the two, nothing would serve these connections.
-        if matches!(input, Input::Wake) {
-            self.shutdown.pending_connections_received();
-        }
-        // Bytes from a client are handled before timers: the driver has already read them, so neither the
-        // idle timeout nor the end of a shutdown may close the connection as idle first.
-        if let Input::Data(conn, bytes) = input {
-            if !conn.is_opened() {
-                self.client_data(conn, bytes, out);
-                self.run_decisions(out);
-                return self.run_timers(out);
-            }
-        }
-        // For all other inputs, due timers come first, in whatever order the driver found them.
-        self.run_timers(out);
-        self.handle_input(&input, out);
-        self.run_decisions(out);
+        self.handle_input_and_timers(&input, out);
+        self.limit_memory(out);
     }
 
     fn wake_at(&self) -> Option<Duration> {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Maximum size of an object from discovery, in bytes.
-const MAX_OBJECT_BYTES: usize = 4 << 20;
+/// Capacity of the buffer that is kept between two objects, in bytes.
+const RETAINED_CAPACITY: usize = 4 << 10;
 /// Silence after which a watch counts as hanging. Discovery sends something every 2 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3_700);
 /// The fraction of `SILENCE_TIMEOUT` by which jitter may shorten it: hundreds of routers that lose discovery
@@ -82,8 +82,8 @@
     InvalidList(#[from] EndpointListError),
     #[error("list {received}: older than {held}, which is held")]
     OlderList { received: u64, held: u64 },
-    #[error("an object over {MAX_OBJECT_BYTES} bytes")]
-    ObjectTooLarge,
+    #[error("an object over {limit} bytes")]
+    ObjectTooLarge { limit: usize },
 }
 
 /// Why a watch has failed. `Display` writes the text of the log line.
@@ -126,6 +126,8 @@
 #[derive(Debug)]
 pub(crate) struct Watch {
     addr: SocketAddr,
+    /// Maximum size of an object, in bytes.
+    max_object_bytes: usize,
     state: State,
     timer: Option<TimerKey>,
     /// Version of the current list.
@@ -164,9 +166,11 @@
 }
 
 impl Watch {
-    pub(crate) fn new(addr: SocketAddr, now: Duration, seed: u64) -> Self {
+    /// Creates a watch at `addr` that is opened at once and takes objects of up to `max_object_bytes`.
+    pub(crate) fn new(addr: SocketAddr, max_object_bytes: usize, now: Duration, seed: u64) -> Self {
         Watch {
             addr,
+            max_object_bytes,
             state: State::Waiting(now),
             timer: None,
             index: 0,
@@ -346,6 +350,11 @@
         Ok(())
     }
 
+    /// Memory that the received part of an object takes, in bytes.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.decoder.capacity() + self.received.capacity()
+    }
+
     /// Removes the complete objects from the received bytes and appends their lists to `out`.
     fn take_lists(&mut self, out: &mut Vec<EndpointList>) -> Result<(), WatchError> {
         let Watch { received, index, needs_complete_list, last_list_was_older, .. } = self;
@@ -366,8 +375,11 @@
         let result = endpoint_list::take_complete(received, &mut accept);
         if result.is_err() {
             self.needs_complete_list = true;
-        } else if self.received.len() > MAX_OBJECT_BYTES {
-            return Err(WatchError::ObjectTooLarge);
+        } else if self.received.len() > self.max_object_bytes {
+            return Err(WatchError::ObjectTooLarge { limit: self.max_object_bytes });
+        }
+        if self.received.is_empty() {
+            self.received.shrink_to(RETAINED_CAPACITY);
         }
         result
     }
--- a/crates/platform/src/watch/tests.rs
+++ b/crates/platform/src/watch/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+const MAX_OBJECT_BYTES: usize = 4 << 20;
+
 /// A router must know a change this long after discovery has it and is reachable. From the protocol.
 const CHANGE_NOTIFICATION_DEADLINE: Duration = Duration::from_millis(6_000);
 
@@ -12,7 +14,7 @@
 }
 
 fn open_watch(index: u64) -> Watch {
-    let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, 7);
+    let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), MAX_OBJECT_BYTES, Duration::ZERO, 7);
     watch.resume_from(index);
     let request = watch.connected(ConnId::opened(1), Duration::ZERO);
     assert!(String::from_utf8_lossy(&request).contains(&format!("after={index} ")));
@@ -136,7 +138,8 @@
     // The longest of many backoffs is close to the maximum, the shortest close to the minimum.
     let mut waits = [(Duration::MAX, Duration::ZERO); 5];
     for seed in 1..400 {
-        let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, seed * 7_919);
+        let mut watch =
+            Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), MAX_OBJECT_BYTES, Duration::ZERO, seed * 7_919);
         for (shortest, longest) in &mut waits {
             watch.failed(Duration::ZERO, false);
             (*shortest, *longest) = (watch.due().min(*shortest), watch.due().max(*longest));
@@ -165,7 +168,8 @@
     let object = http::chunk(line(42, true).as_bytes());
     let response = [HEAD, &object].concat();
     for (from, what) in [(0, "head"), (HEAD.len(), "object"), (HEAD.len() + 1, "object that has begun")] {
-        let mut watch = Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), Duration::ZERO, 7);
+        let mut watch =
+            Watch::new(SocketAddr::from(([127, 0, 0, 1], 1)), MAX_OBJECT_BYTES, Duration::ZERO, 7);
         watch.connected(ConnId::opened(1), Duration::ZERO);
         watch.feed(Duration::ZERO, &response[..from], &mut Vec::new()).unwrap();
         let mut now = Duration::ZERO;
--- a/crates/platform/tests/fleet.rs
+++ b/crates/platform/tests/fleet.rs
@@ -181,13 +181,16 @@
     assert_eq!(fleet.clients().odd, [""; 0], "{:?}", fleet.clients().endings);
     assert_eq!(fleet.router().held_state().releases, 0, "every release is done in the end");
     for (held, decisions, table_entries) in &sizes {
-        let HeldState { client_connections, engine_connections, requests, timers, releases } = *held;
+        let HeldState { client_connections, engine_connections, requests, timers, releases, buffered_bytes } =
+            *held;
         assert!(
             engine_connections < 60
                 && requests < 20
                 && releases < 10
                 && client_connections < 200
-                && timers < 600,
+                && timers < 600
+                // Connections between exchanges keep up to 4 KiB each.
+                && buffered_bytes < 1 << 20,
             "{sizes:?}"
         );
         assert!(decisions.engines <= 7 && decisions.timers < 300 && *table_entries < 40, "{sizes:?}");
--- a/crates/protocol/src/http/decoder.rs
+++ b/crates/protocol/src/http/decoder.rs
@@ -9,6 +9,8 @@
 const MAX_CHUNK_LINE_LEN: usize = 256;
 /// The longest method, in bytes: longer than any registered one.
 const MAX_METHOD_LEN: usize = 32;
+/// Capacity of the buffer that an idle decoder keeps for the next bytes, in bytes.
+const RETAINED_CAPACITY: usize = 4 << 10;
 /// The end of a head: the end of its last line, and an empty line.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -93,6 +95,11 @@
         self.buf.len() - self.consumed
     }
 
+    /// Memory that its buffer takes, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Whether no message is incomplete and no bytes are waiting to be decoded.
     pub fn idle(&self) -> bool {
         matches!(self.state, State::Head | State::Closed) && self.buffered() == 0
@@ -103,6 +110,23 @@
     /// # Errors
     /// The bytes are not valid HTTP/1.1 or exceed a limit; nothing more can be decoded afterwards.
     pub fn next_item(&mut self) -> Result<Option<Item>, Malformed> {
+        let item = self.decode_item()?;
+        if item.is_none() && self.buffered() == 0 {
+            self.release_buffer();
+        }
+        Ok(item)
+    }
+
+    /// Drops the decoded bytes, and the memory of a large buffer.
+    fn release_buffer(&mut self) {
+        self.buf.clear();
+        if self.buf.capacity() > RETAINED_CAPACITY {
+            self.buf = Vec::new();
+        }
+        (self.consumed, self.searched) = (0, 0);
+    }
+
+    fn decode_item(&mut self) -> Result<Option<Item>, Malformed> {
         match self.state {
             State::Head => self.decode_head(),
             State::Length(remaining) | State::Chunk(remaining) => Ok(self.take_body(remaining)),
@@ -120,7 +144,7 @@
                     return malformed(400, "a chunk is not followed by CR LF");
                 }
                 self.state = State::ChunkSize;
-                self.next_item()
+                self.decode_item()
             }
             State::Trailer => self.decode_trailer(),
             State::Closed => Ok(None),
@@ -229,7 +253,7 @@
         }
         self.count_body(size as usize)?;
         self.state = State::Chunk(size);
-        self.next_item()
+        self.decode_item()
     }
 
     fn decode_trailer(&mut self) -> Result<Option<Item>, Malformed> {
--- a/crates/protocol/src/http/head.rs
+++ b/crates/protocol/src/http/head.rs
@@ -47,6 +47,17 @@
         self.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
+    /// Memory that its texts take, in bytes.
+    pub fn size(&self) -> usize {
+        let start = match &self.start {
+            Start::Request { method, target } => method.len() + target.len(),
+            Start::Response { .. } => 0,
+        };
+        let field_size =
+            |(name, value): &(String, String)| size_of::<(String, String)>() + name.len() + value.len();
+        start + self.fields.iter().map(field_size).sum::<usize>()
+    }
+
     /// The values of all fields of this name, which has to be in lower case.
     fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.fields.iter().filter(move |(other, _)| other == name).map(|(_, value)| value.as_str())
--- a/crates/protocol/tests/http.rs
+++ b/crates/protocol/tests/http.rs
@@ -209,3 +209,21 @@
         assert_eq!(path_of(target), path, "{target}");
     }
 }
+
+/// Guards against memory that thousands of connections keep after one large read each.
+#[test]
+fn a_decoder_gives_back_the_memory_of_a_large_read_once_it_is_decoded() {
+    let head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n";
+    let mut decoder = Decoder::new(Side::Server, Limits::default());
+    decoder.feed(&[head.as_slice(), &[b'x'; 16_000]].concat());
+    assert!(decoder.capacity() >= 16_000);
+    while decoder.next_item().expect("valid").is_some() {}
+    assert!(decoder.capacity() <= 4 << 10, "{}", decoder.capacity());
+    decoder.feed(&[[b'x'; 24_000].as_slice(), b"GET /"].concat());
+    while decoder.next_item().expect("valid").is_some() {}
+    assert_eq!(decoder.buffered(), b"GET /".len(), "what is not decoded stays");
+    decoder.feed(b" HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(matches!(decoder.next_item(), Ok(Some(Item::Head(_)))));
+    while decoder.next_item().expect("valid").is_some() {}
+    assert!(decoder.idle() && decoder.capacity() <= 4 << 10, "{}", decoder.capacity());
+}
