Unread answers of connections that are closing have one limit

What callers saw: nothing by itself.

Cause: EventLoop limits the number of closing connections, not what they have unsent.

Change: bound_closing_bytes. How long a closed connection may wait is unchanged.

--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -53,6 +53,7 @@
     // The platform assigns all addresses, and its network restricts who can connect.
     event_loop.allow_any_address();
     event_loop.bound_connections(config.resource_limits.driver_connections());
+    event_loop.bound_closing_bytes(config.resource_limits.closing_bytes());
     let listen = config.listen;
     let name = config.name.clone();
     let sockets = config.resource_limits.descriptors;
--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -89,6 +89,11 @@
         !self.unsent.is_empty()
     }
 
+    /// How many bytes wait to be sent.
+    pub(crate) fn unsent_bytes(&self) -> usize {
+        self.unsent.iter().map(Vec::len).sum::<usize>() - self.sent_of_first
+    }
+
     /// Shuts the write side down once everything written is sent.
     pub(crate) fn request_shutdown(&mut self) {
         self.shutdown_requested = true;
--- a/crates/event-loop/src/event_loop.rs
+++ b/crates/event-loop/src/event_loop.rs
@@ -9,9 +9,10 @@
 
 use crate::clock::Clock;
 use crate::command::{Command, EventLoopHandle, MachineId};
+use crate::connection::Connection;
 use crate::descriptor_reserve::DescriptorReserve;
 use crate::lingering::LingeringConnections;
-use crate::slot_table::{Readiness, Slot, SlotTable};
+use crate::slot_table::{Readiness, Slot, SlotTable, SlotUse};
 use crate::{check_loopback, AddressError};
 use rustix::event::{epoll, eventfd, EventfdFlags};
 use slipreel_state_machine::{ConnId, Input, Machine, Output};
@@ -94,6 +95,8 @@
     /// Whether addresses other than loopback ones may be used.
     any_address_allowed: bool,
     max_connections: usize,
+    /// The most unsent bytes of connections that the machines have closed.
+    max_closing_bytes: usize,
     reserve: DescriptorReserve,
 }
 
@@ -121,6 +124,7 @@
             ended: false,
             any_address_allowed: false,
             max_connections: usize::MAX,
+            max_closing_bytes: usize::MAX,
             reserve: DescriptorReserve::default(),
         })
     }
@@ -137,6 +141,12 @@
         self.max_connections = most;
     }
 
+    /// Limits the unsent bytes of connections that the machines have closed. Beyond the limit, those that have
+    /// waited longest are cut off; the machines limit the unsent bytes of the others.
+    pub fn bound_closing_bytes(&mut self, most: usize) {
+        self.max_closing_bytes = most;
+    }
+
     fn check_address(&self, address: SocketAddr) -> Result<(), AddressError> {
         if self.any_address_allowed {
             Ok(())
@@ -323,6 +333,25 @@
         false
     }
 
+    /// Cuts off the closing connections that have waited longest, until the unsent bytes of all of them are
+    /// within the limit.
+    fn limit_closing_bytes(&mut self) {
+        let unsent_bytes = |slot_use: SlotUse| {
+            let connection = self.sockets.connection(slot_use.slot);
+            let current = connection.filter(|_| self.sockets.is_current(slot_use));
+            (slot_use, current.map_or(0, Connection::unsent_bytes))
+        };
+        let waiting: Vec<(SlotUse, usize)> = self.lingering.iter().map(unsent_bytes).collect();
+        let mut total: usize = waiting.iter().map(|(_, unsent)| unsent).sum();
+        for (slot_use, unsent) in waiting.into_iter().filter(|&(_, unsent)| unsent > 0) {
+            if total <= self.max_closing_bytes {
+                return;
+            }
+            self.close(slot_use.slot);
+            total -= unsent;
+        }
+    }
+
     /// Updates the readiness that epoll reports for a connection.
     fn update_interest(&mut self, slot: usize) {
         let Some(connection) = self.sockets.connection(slot) else { return };
--- a/crates/event-loop/src/event_loop/readiness.rs
+++ b/crates/event-loop/src/event_loop/readiness.rs
@@ -1,7 +1,7 @@
 //! Handles connections that are ready: finishes connecting, reads, sends and closes.
 
 use super::EventLoop;
-use crate::connection::{Flushed, Phase};
+use crate::connection::{Connection, Flushed, Phase};
 use crate::slot_table::Slot;
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
@@ -132,6 +132,9 @@
         connection.queued_to_flush = false;
         if connection.phase == Phase::Closing {
             self.finish_closing(slot);
+            if self.sockets.connection(slot).is_some_and(Connection::has_unsent) {
+                self.limit_closing_bytes();
+            }
         } else {
             self.flush(slot);
         }
--- a/crates/event-loop/src/lingering.rs
+++ b/crates/event-loop/src/lingering.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// The connections, the one that has waited longest first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = SlotUse> + '_ {
+        self.0.iter().map(|lingering| lingering.slot_use)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
