Copies of requests for engines are made when they are sent, within the memory

What callers saw: nothing by itself.

Cause: each attempt held a copy of its request from the decision on, though it is made anew once the connection is established; copies at engines that read nothing outlive requests that can't be cancelled, and were counted only as far as they were unsent, while the driver keeps all of one until its end is sent.

Change: the message of an attempt is made when its connection is established, if there is memory for it; else the attempt is given up as never sent, as it is where no connection is left. It counts in full until all of it is sent. A connection with no more than an equal share of the limit is never ended for it. Small writes that the driver joins take no more than 16 KiB.

--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -56,6 +56,16 @@
     Broken,
 }
 
+/// Appends a small write to one before it, which grows to [`MAX_JOINED_WRITE`] and takes no more memory.
+fn join(last: &mut Vec<u8>, bytes: &[u8]) {
+    let joined = last.len() + bytes.len();
+    if joined > last.capacity() {
+        let capacity = (2 * joined).min(MAX_JOINED_WRITE);
+        last.reserve_exact(capacity - last.len());
+    }
+    last.extend_from_slice(bytes);
+}
+
 impl Connection {
     pub(crate) fn new(fd: OwnedFd, machine: usize, id: ConnId, phase: Phase) -> Self {
         Connection {
@@ -80,7 +90,7 @@
             return;
         }
         match self.unsent.back_mut() {
-            Some(last) if last.len() + bytes.len() <= MAX_JOINED_WRITE => last.extend_from_slice(&bytes),
+            Some(last) if last.len() + bytes.len() <= MAX_JOINED_WRITE => join(last, &bytes),
             _ => self.unsent.push_back(bytes),
         }
     }
--- a/crates/platform/src/dispatch.rs
+++ b/crates/platform/src/dispatch.rs
@@ -55,16 +55,13 @@
         };
         let (addr, is_prefill) = (endpoint.addr, endpoint.role == Role::Prefill);
         let attempt = request.begin_attempt(now, engine, is_prefill);
-        let Some(bytes) = request.message(now, addr) else {
-            return self.attempt_ended(id, attempt, AttemptEnd::never_ran(NeverRan::NotTried));
-        };
         let holds_last_byte = request.params().at_most_once && !is_prefill;
         let prefill_engine = request.prefill_engine().filter(|_| !is_prefill);
         let prompt_tokens = request.params().prompt_tokens;
         self.count_attempt(engine, prefill_engine, prompt_tokens);
         self.requests.record_forwarded(now, id);
         let purpose = ConnectionPurpose::Attempt { request: id, attempt };
-        let exchange = Exchange { engine, addr, purpose, request: bytes, holds_last_byte };
+        let exchange = Exchange { engine, addr, purpose, request: Vec::new(), holds_last_byte };
         let Some(conn) = self.open_for_attempt(exchange, out) else {
             return self.attempt_ended(id, attempt, AttemptEnd::never_ran(NeverRan::NotTried));
         };
--- a/crates/platform/src/engine_connection.rs
+++ b/crates/platform/src/engine_connection.rs
@@ -85,7 +85,8 @@
     pub(crate) engine: EngineId,
     pub(crate) addr: SocketAddr,
     pub(crate) purpose: ConnectionPurpose,
-    /// The bytes of the request.
+    /// The bytes of the request. Empty for an attempt, whose message is made once the connection is established:
+    /// it states the time left, and takes no memory until then.
     pub(crate) request: Vec<u8>,
     /// Whether the last byte of the request is written `LAST_BYTE_DELAY` after the rest.
     ///
@@ -110,6 +111,8 @@
     /// then the last byte if it is held back.
     pending: Vec<u8>,
     holds_last_byte: bool,
+    /// Length of the request, in bytes.
+    request_len: usize,
     /// Bytes of the request that the driver has not sent yet.
     unsent: usize,
     paused: bool,
@@ -133,6 +136,7 @@
             purpose,
             since: now,
             last_progress: now,
+            request_len: request.len(),
             unsent: request.len(),
             pending: request,
             holds_last_byte,
@@ -182,6 +186,7 @@
 
     /// Replaces the request, of which nothing has been written yet.
     pub(crate) fn replace_request(&mut self, request: Vec<u8>) {
+        self.request_len = request.len();
         self.unsent = request.len();
         self.pending = request;
     }
@@ -222,9 +227,10 @@
         self.response.buffered_bytes()
     }
 
-    /// Memory that its buffers take, in bytes: the unsent part of the request, and the response.
+    /// Memory that its buffers take, in bytes: the request until all of it is sent, and the response.
     pub(crate) fn buffered_bytes(&self) -> usize {
-        self.unsent + self.response_bytes()
+        let request = if self.unsent > 0 { self.request_len } else { 0 };
+        request + self.response_bytes()
     }
 
     pub(crate) fn is_paused(&self) -> bool {
--- a/crates/platform/src/engines.rs
+++ b/crates/platform/src/engines.rs
@@ -11,6 +11,7 @@
 use slipreel::{EngineId, Event, LoadReport, Outcome, RequestId};
 use slipreel_connections::ReleaseId;
 use slipreel_state_machine::{ConnId, ConnectionLoss, Output};
+use std::net::SocketAddr;
 
 /// Bytes waiting for a client above which its engine's connection is paused.
 const MAX_UNSENT_BYTES: usize = 64 << 10;
@@ -26,21 +27,40 @@
         if self.request_is_over(conn) {
             return self.cancel_connection(conn, Outcome::Cancelled, out);
         }
-        let Some(connection) =
-            self.engines.get_mut(conn).filter(|connection| connection.state() == State::Connecting)
+        let connecting = self.engines.get(conn).filter(|connection| connection.state() == State::Connecting);
+        let Some((purpose, addr)) = connecting.map(|connection| (connection.purpose(), connection.addr()))
         else {
             return;
         };
-        if let ConnectionPurpose::Attempt { request, .. } = connection.purpose() {
-            let request = self.requests.get(request);
-            if let Some(message) = request.and_then(|request| request.message(now, connection.addr())) {
-                connection.replace_request(message);
+        let message = match purpose {
+            ConnectionPurpose::Attempt { request, .. } => {
+                let Some(message) = self.attempt_message(request, addr, out) else {
+                    return self.cancel_connection(conn, Outcome::Cancelled, out);
+                };
+                Some(message)
             }
+            ConnectionPurpose::Probe | ConnectionPurpose::Release(_) => None,
+        };
+        let Some(connection) = self.engines.get_mut(conn) else { return };
+        if let Some(message) = message {
+            connection.replace_request(message);
         }
         out.push(Output::Write(conn, connection.connected(now)));
         self.arm_engine_timer(conn);
     }
 
+    /// The message of an attempt. `None` if there is no memory for it, or if another attempt has begun to answer
+    /// the client.
+    fn attempt_message(
+        &mut self, request: RequestId, addr: SocketAddr, out: &mut Vec<Output>,
+    ) -> Option<Vec<u8>> {
+        let size = self.requests.get(request)?.held_bytes();
+        if !self.reserve_memory(size, out) {
+            return None;
+        }
+        self.requests.get(request)?.message(self.now, addr)
+    }
+
     /// Whether a connection carries an attempt for a request that is over: its client has left, or it has its
     /// answer. Even where the settings forbid the decision module to cancel attempts in flight, an attempt
     /// that is not written yet is no longer sent.
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -81,20 +81,22 @@
         true
     }
 
+    /// The connection with the largest buffers, if they take more than an equal share of the limit. Ending
+    /// smaller ones would cost many clients their answers and free little.
     fn largest_buffer(&self) -> Option<LargestBuffer> {
-        let client = self.clients.largest_buffers();
-        let engine = self.engines.largest_response();
-        match (client, engine) {
-            (Some((client_bytes, _)), Some((engine_bytes, conn))) if engine_bytes > client_bytes => {
-                Some(LargestBuffer::Engine(conn))
-            }
-            (Some((_, conn)), _) => Some(LargestBuffer::Client(conn)),
-            (None, Some((_, conn))) => Some(LargestBuffer::Engine(conn)),
-            (None, None) => None,
+        let (client_bytes, client) = self.clients.largest_buffers().unzip();
+        let (engine_bytes, engine) = self.engines.largest_response().unzip();
+        if client_bytes.max(engine_bytes)? <= self.resource_limits.equal_share() {
+            return None;
+        }
+        if engine_bytes > client_bytes {
+            engine.map(LargestBuffer::Engine)
+        } else {
+            client.map(LargestBuffer::Client)
         }
     }
 
-    /// Ends the connection with the largest buffers. False if there is none.
+    /// Ends the connection with the largest buffers. False if none takes more than an equal share.
     fn end_largest_connection(&mut self, out: &mut Vec<Output>) -> bool {
         match self.largest_buffer() {
             Some(LargestBuffer::Client(conn)) => {
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -72,6 +72,11 @@
         buffered_bytes > self.buffer_bytes / 8 * eighths
     }
 
+    /// The memory for buffers if all connections took the same, in bytes.
+    pub(crate) fn equal_share(&self) -> usize {
+        self.buffer_bytes / (self.client_connections + self.engine_connections)
+    }
+
     /// Unsent bytes that the driver may hold for connections that are closing.
     pub fn closing_bytes(&self) -> usize {
         self.buffer_bytes / 4
--- a/crates/platform/tests/memory.rs
+++ b/crates/platform/tests/memory.rs
@@ -61,8 +61,12 @@
 
 impl Peers {
     fn new() -> Self {
+        Self::with(&small_memory())
+    }
+
+    fn with(config: &str) -> Self {
         Peers {
-            harness: Harness::with(&small_memory()),
+            harness: Harness::with(config),
             received: BTreeMap::new(),
             unsent: BTreeMap::new(),
             responses: BTreeMap::new(),
@@ -276,6 +280,39 @@
     }
 }
 
+/// Guards against copies of requests that no limit counts: engines that read nothing keep them, also where the
+/// attempt can't be cancelled and the client has left. And against a limit that ends other connections for it.
+#[test]
+fn copies_of_requests_stay_within_the_memory_and_cost_no_idle_client_its_connection() {
+    let mut peers = Peers::with(&small_memory().replace("\"cancelling\":true", "\"cancelling\":false"));
+    let idle: Vec<ConnId> = (0..20).map(|_| peers.connect()).collect();
+    for &client in &idle {
+        peers.send(client, b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    // Half of the memory is taken by copies of requests whose clients have left.
+    for id in 0..BUFFER_LIMIT / 2 / MAX_BODY {
+        let client = peers.connect();
+        peers.send(client, &request_with_body(&format!("left{id}"), MAX_BODY));
+        let attempt = peers.opened.pop().expect("an attempt");
+        peers.establish(attempt, false);
+        let out = peers.harness.handle(Input::Eof(client));
+        peers.observe(out);
+    }
+    // Then as many requests as are admitted are copied all at once.
+    let mut admitted = Vec::new();
+    for id in 0..BUFFER_LIMIT / 2 / MAX_BODY {
+        let client = peers.connect();
+        peers.send(client, &request_with_body(&format!("new{id}"), MAX_BODY));
+        admitted.extend(peers.opened.pop());
+    }
+    assert!(admitted.len() > 10, "too few requests: {}", admitted.len());
+    admitted.into_iter().for_each(|attempt| peers.establish(attempt, false));
+    assert!(peers.most > BUFFER_LIMIT / 2, "too few bytes: {}", peers.most);
+    let held = peers.harness.router.held_state();
+    assert!(held.buffered_bytes <= BUFFER_LIMIT, "{held:?}");
+    assert!(idle.iter().all(|client| peers.open.contains(client)), "idle clients are not to blame");
+}
+
 /// Guards against buffers of a kind that the limit does not count.
 #[test]
 fn random_peers_do_not_drive_a_router_over_its_memory() {
